--- /dev/null
+++ b/backends/directory.go
@@ -0,0 +1,229 @@
+package backends
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"bluebellwind.example/routing"
+)
+
+// statusLifetime is how long the status of a server counts after it arrived.
+const statusLifetime = 1500 * time.Millisecond
+
+// Directory is the set of backend servers. It is safe for concurrent use.
+type Directory struct {
+	zone string
+	seed uint64
+
+	mu      sync.Mutex
+	servers map[string]*entry
+	// statuses by address, which is all that an agent knows of its server.
+	statuses map[string]Status
+	groups   map[string]*group
+	tables   map[string]*serviceTable
+}
+
+// entry is one published server.
+type entry struct {
+	Server
+	health health
+	// removedAt is set while a server whose publication lapsed is given time to
+	// come back.
+	lapses time.Time
+	load   Load
+	loadAt time.Time
+}
+
+// group is what is known of one group of ranks.
+type group struct {
+	// brokenUntil is when a group that requests found broken is tried again,
+	// unless its ranks say otherwise before.
+	brokenUntil time.Time
+	brokenEpoch uint64
+}
+
+// NewDirectory returns an empty directory for a process in a zone. Processes
+// use different seeds, so that they do not all choose alike.
+func NewDirectory(zone string, seed uint64) *Directory {
+	return &Directory{
+		zone:     zone,
+		seed:     seed,
+		servers:  make(map[string]*entry),
+		statuses: make(map[string]Status),
+		groups:   make(map[string]*group),
+		tables:   make(map[string]*serviceTable),
+	}
+}
+
+// Put adds or replaces a published server.
+func (d *Directory) Put(s Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[s.ID]
+	if e == nil {
+		e = &entry{}
+		d.servers[s.ID] = e
+	}
+	e.Server = s
+	e.lapses = time.Time{}
+	d.touch(s.Service)
+}
+
+// Remove takes a server out; with a grace it stays in choice for that long,
+// unless it is published again.
+func (d *Directory) Remove(id string, grace time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[id]
+	if e == nil {
+		return
+	}
+	if grace > 0 && !e.Draining {
+		if e.lapses.IsZero() {
+			e.lapses = now.Add(grace)
+		}
+		return
+	}
+	delete(d.servers, id)
+	d.touch(e.Service)
+}
+
+// Replace sets the published servers. Those that are missing are removed, with
+// the grace of Remove. It returns the IDs of those.
+func (d *Directory) Replace(published []Server, grace time.Duration, now time.Time) []string {
+	present := make(map[string]bool, len(published))
+	for _, s := range published {
+		present[s.ID] = true
+		d.Put(s)
+	}
+	var missing []string
+	for _, id := range d.IDs() {
+		if !present[id] {
+			missing = append(missing, id)
+			d.Remove(id, grace, now)
+		}
+	}
+	return missing
+}
+
+// Expire removes servers whose grace has ended, and statuses that are outdated.
+// It returns the IDs of the servers.
+func (d *Directory) Expire(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var gone []string
+	for id, e := range d.servers {
+		if !e.lapses.IsZero() && now.After(e.lapses) {
+			gone = append(gone, id)
+			delete(d.servers, id)
+			d.touch(e.Service)
+		}
+	}
+	for address, s := range d.statuses {
+		if now.Sub(s.At) > statusLifetime {
+			delete(d.statuses, address)
+			d.touchAddress(address)
+		}
+	}
+	return gone
+}
+
+// IDs returns the IDs of all servers, sorted.
+func (d *Directory) IDs() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.servers))
+}
+
+// Report takes the status that an agent read from the server at an address. It
+// reports whether the group's being open changed by it.
+func (d *Directory) Report(address string, s Status) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, known := d.statuses[address]
+	if known && s.Up && old.Up && s.Group.Epoch < old.Group.Epoch {
+		return false
+	}
+	if !s.Up && s.Group.Name == "" {
+		s.Group = old.Group // A dead server cannot say where it belonged.
+	}
+	d.statuses[address] = s
+	d.touchAddress(address)
+	return !known || old.Open != s.Open || old.Up != s.Up
+}
+
+// GroupBroken notes that a request found the group of a server broken. It is
+// left out until retry, or until its ranks say that it opened in a new epoch.
+func (d *Directory) GroupBroken(id string, retry time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[id]
+	if e == nil {
+		return
+	}
+	status, ok := d.statuses[e.Address]
+	if !ok || status.Group.Name == "" {
+		e.health.fail(retry, true)
+		return
+	}
+	g := d.groups[status.Group.Name]
+	if g == nil {
+		g = &group{}
+		d.groups[status.Group.Name] = g
+	}
+	g.brokenUntil = retry
+	g.brokenEpoch = status.Group.Epoch
+	d.touch(e.Service)
+}
+
+// Failed notes a failed request to a server. hard says that it did not take the
+// connection.
+func (d *Directory) Failed(id string, hard bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.servers[id]; e != nil {
+		e.health.fail(now, hard)
+		d.touch(e.Service)
+	}
+}
+
+// Answered notes a whole answer of a server, with the load that it stated.
+func (d *Directory) Answered(id string, load *Load, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[id]
+	if e == nil {
+		return
+	}
+	e.health.succeed(now)
+	if load != nil {
+		e.load, e.loadAt = *load, now
+		d.touch(e.Service)
+	}
+}
+
+// touchAddress marks the tables of the servers at an address as outdated. The
+// lock is held.
+func (d *Directory) touchAddress(address string) {
+	for _, e := range d.servers {
+		if e.Address == address {
+			d.touch(e.Service)
+		}
+	}
+}
+
+// touch marks the table of a service as outdated. The lock is held.
+func (d *Directory) touch(service string) {
+	if t := d.tables[service]; t != nil {
+		t.outdated = true
+	}
+}
+
+// serviceTable is the choice among the servers of one service.
+type serviceTable struct {
+	table    *routing.Table
+	outdated bool
+	updated  time.Time
+}
--- /dev/null
+++ b/backends/health.go
@@ -0,0 +1,50 @@
+package backends
+
+import "time"
+
+const (
+	// firstExclusion is how long a server is left out after its first failure
+	// in a row; each further one doubles it up to maxExclusion.
+	firstExclusion = 300 * time.Millisecond
+	maxExclusion   = 4 * time.Second
+	// failuresTolerated is how many failures in a row leave a server in choice:
+	// one lost answer is no evidence against it.
+	failuresTolerated = 1
+	// forgiveness is how long after its last failure a server that answers
+	// again has its earlier failures forgotten.
+	forgiveness = 5 * time.Second
+)
+
+// health is what requests showed of one server.
+type health struct {
+	failures    int
+	exclusions  int
+	lastFailure time.Time
+	until       time.Time
+}
+
+// fail notes a failed request; hard says that the server did not even take the
+// connection.
+func (h *health) fail(now time.Time, hard bool) {
+	h.lastFailure = now
+	h.failures++
+	if !hard && h.failures <= failuresTolerated {
+		return
+	}
+	if now.Before(h.until) {
+		return
+	}
+	h.until = now.Add(min(maxExclusion, firstExclusion<<min(h.exclusions, 8)))
+	h.exclusions++
+}
+
+// succeed notes a whole answer.
+func (h *health) succeed(now time.Time) {
+	h.failures = 0
+	if now.Sub(h.lastFailure) > forgiveness {
+		h.exclusions = 0
+	}
+}
+
+// excluded says that the server gets no new requests for now.
+func (h *health) excluded(now time.Time) bool { return now.Before(h.until) }
--- /dev/null
+++ b/backends/pick.go
@@ -0,0 +1,198 @@
+package backends
+
+import (
+	"fmt"
+	"time"
+
+	"bluebellwind.example/ingress"
+	"bluebellwind.example/routing"
+	"bluebellwind.example/verdict"
+)
+
+const (
+	// statusPeriod is the usual time from one status of a model server to the next.
+	statusPeriod = 200 * time.Millisecond
+	// refreshPeriod bounds the age of a view: exclusions end without an event.
+	refreshPeriod = 50 * time.Millisecond
+	// zoneDistance is the backlog that a server of another zone is taken to
+	// have in addition, so that the own zone is preferred among equals.
+	zoneDistance = 2 * time.Millisecond
+	// plainCall is the time that a call of a plain service takes, about.
+	plainCall = 40 * time.Millisecond
+	// reopenGuess is when a refused caller may find a group open again, if
+	// nothing is known of when it broke.
+	reopenGuess = 800 * time.Millisecond
+)
+
+// Need is what a choice must know of a request.
+type Need struct {
+	Service *ingress.Service
+	Name    string
+	// PromptTokens of the request; zero for plain services.
+	PromptTokens int
+	Tried        []string
+	// AvoidGroups are groups that the request has already failed in.
+	AvoidGroups []string
+}
+
+// Choice is a server that a request is sent to and counts as in flight at. Its
+// owner calls Done once.
+type Choice struct {
+	Server
+	// Group the server belongs to, if its agent told.
+	Group Group
+
+	choice *routing.Choice
+}
+
+// Done notes that the request no longer runs on the server.
+func (c *Choice) Done() { c.choice.Done() }
+
+// Progress notes that the server sent something.
+func (c *Choice) Progress(now time.Time) { c.choice.Progress(now) }
+
+// Pick chooses the server for a request. The error is a *verdict.Error with
+// NotRun and the time to come back.
+func (d *Directory) Pick(n Need, now time.Time) (*Choice, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tables[n.Name]
+	if t == nil {
+		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
+		d.tables[n.Name] = t
+	}
+	if t.outdated || now.Sub(t.updated) > refreshPeriod {
+		t.table.Update(d.view(n, now))
+		t.outdated, t.updated = false, now
+	}
+	r := routing.Request{PromptTokens: n.PromptTokens, Tried: d.avoided(n)}
+	choice, err := t.table.Pick(r, now)
+	if err != nil {
+		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "no backend server can take this request").
+			After(d.reopens(n.Name, now))
+	}
+	e := d.servers[choice.Server]
+	if e == nil {
+		choice.Done()
+		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").After(reopenGuess)
+	}
+	return &Choice{Server: e.Server, Group: d.statuses[e.Address].Group, choice: choice}, nil
+}
+
+// avoided returns the servers that must not be chosen for n.
+func (d *Directory) avoided(n Need) []string {
+	if len(n.AvoidGroups) == 0 {
+		return n.Tried
+	}
+	out := append([]string(nil), n.Tried...)
+	for id, e := range d.servers {
+		name := d.statuses[e.Address].Group.Name
+		for _, avoid := range n.AvoidGroups {
+			if name == avoid && name != "" {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
+
+// view makes the routing view of a service. The lock is held.
+func (d *Directory) view(n Need, now time.Time) routing.View {
+	v := routing.View{ReportPeriod: statusPeriod, MeanTokens: 1, StepTime: plainCall}
+	if n.Service != nil && n.Service.Engine != nil {
+		e := n.Service.Engine
+		v.MeanTokens = float64(max(1, e.AnswerTokens))
+		v.StepTime = e.Step + time.Duration(e.Slots)*e.PerSequence
+		if e.PrefillPerSecond > 0 {
+			v.PrefillPerToken = time.Duration(float64(time.Second) / e.PrefillPerSecond)
+		}
+	}
+	closed := d.closedGroups(now)
+	for id, e := range d.servers {
+		if e.Service != n.Name {
+			continue
+		}
+		v.Candidates = append(v.Candidates, d.candidate(id, e, closed, now))
+	}
+	return v
+}
+
+func (d *Directory) candidate(id string, e *entry, closed map[string]bool, now time.Time) routing.Candidate {
+	status, reported := d.statuses[e.Address]
+	c := routing.Candidate{
+		Server:    id,
+		Zone:      e.Zone,
+		Leaving:   e.Draining,
+		Suspected: e.health.excluded(now),
+		Load:      routing.Load{At: now, Slots: max(1, e.Slots), Running: e.load.Running},
+	}
+	if e.Zone != d.zone {
+		c.Distance = zoneDistance
+	}
+	if now.Sub(e.loadAt) > statusPeriod {
+		c.Load.Running = 0
+	}
+	if reported {
+		c.Load.At = status.At
+		c.Load.Running = status.Running
+		c.Load.Queued[routing.Standard] = status.Waiting
+		c.Suspected = c.Suspected || !status.Up || closed[status.Group.Name]
+	}
+	return c
+}
+
+// closedGroups returns the groups that take no requests. The lock is held.
+func (d *Directory) closedGroups(now time.Time) map[string]bool {
+	closed := make(map[string]bool)
+	newest := make(map[string]uint64)
+	for _, s := range d.statuses {
+		newest[s.Group.Name] = max(newest[s.Group.Name], s.Group.Epoch)
+	}
+	for _, s := range d.statuses {
+		if s.Group.Name != "" && (!s.Up || !s.Open) && s.Group.Epoch == newest[s.Group.Name] {
+			closed[s.Group.Name] = true
+		}
+	}
+	for name, g := range d.groups {
+		if now.Before(g.brokenUntil) && newest[name] <= g.brokenEpoch {
+			closed[name] = true
+		}
+	}
+	return closed
+}
+
+// reopens returns when a refused caller may come back.
+func (d *Directory) reopens(service string, now time.Time) time.Duration {
+	soonest := time.Duration(0)
+	for _, e := range d.servers {
+		if e.Service != service || !e.health.excluded(now) {
+			continue
+		}
+		if wait := e.health.until.Sub(now); soonest == 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	if soonest == 0 {
+		return reopenGuess
+	}
+	return soonest
+}
+
+// StatusOf returns the latest status of a server, if there is one.
+func (d *Directory) StatusOf(id string) (Status, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[id]
+	if e == nil {
+		return Status{}, false
+	}
+	s, ok := d.statuses[e.Address]
+	return s, ok
+}
+
+// String describes the directory for logs.
+func (d *Directory) String() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return fmt.Sprintf("%d servers, %d statuses", len(d.servers), len(d.statuses))
+}
--- a/cmd/bluebellwindd/main.go
+++ b/cmd/bluebellwindd/main.go
@@ -1,5 +1,6 @@
 // Command bluebellwindd is the daemon: an entry, or the agent in the slot of a
-// backend server instance.
+// backend server instance; on an outside platform, a gateway or the agent of a
+// rank.
 package main
 
 import (
@@ -16,11 +17,19 @@
 	"bluebellwind.example/internal/config"
 	"bluebellwind.example/internal/entry"
 	"bluebellwind.example/internal/logging"
+	"bluebellwind.example/internal/node"
 )
 
 type commands struct {
 	Entry roleCommand `cmd:"" help:"Run an entry: it takes callers' requests."`
 	Agent roleCommand `cmd:"" help:"Run the agent of one backend server."`
+
+	Gateway nodeCommand `cmd:"" help:"Run a gateway: it takes callers' requests on an outside platform."`
+}
+
+// nodeCommand runs a process on an outside platform.
+type nodeCommand struct {
+	Config string `short:"c" required:"" type:"existingfile" env:"BLUEBELLWIND_SETTINGS" placeholder:"FILE" help:"Settings, in YAML."`
 }
 
 type roleCommand struct {
@@ -35,15 +44,22 @@
 func main() {
 	var c commands
 	k := kong.Parse(&c, kong.Name("bluebellwindd"), kong.Description("The daemon of bluebellwind."))
-	role := config.Role(k.Command())
+	if err := start(k.Command(), &c); err != nil {
+		fmt.Fprintln(os.Stderr, "bluebellwindd:", err)
+		os.Exit(1)
+	}
+}
+
+func start(command string, c *commands) error {
+	if command == "gateway" {
+		return node.RunGateway(c.Gateway.Config)
+	}
+	role := config.Role(command)
 	file := c.Entry.Config
 	if role == config.RoleAgent {
 		file = c.Agent.Config
 	}
-	if err := run(role, file); err != nil {
-		fmt.Fprintln(os.Stderr, "bluebellwindd:", err)
-		os.Exit(1)
-	}
+	return run(role, file)
 }
 
 func run(role config.Role, file string) error {
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"bluebellwind.example/verdict"
+)
+
+// statusOf is the status of a refusal. 503, 429 and 408 promise that the request
+// has not run, so a request that may have run gets none of them.
+func statusOf(e *verdict.Error) int {
+	if e.Verdict != verdict.NotRun {
+		if e.Code == verdict.DeadlineExceeded {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch e.Code {
+	case verdict.InvalidRequest:
+		return http.StatusBadRequest
+	case verdict.Unauthenticated:
+		return http.StatusUnauthorized
+	case verdict.NoRoute:
+		return http.StatusNotFound
+	case verdict.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.LimitExceeded:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refuse answers with a refusal of the gateway's own.
+func (g *Gateway) refuse(x *exchange, e *verdict.Error) {
+	status := statusOf(e)
+	h := x.w.Header()
+	g.format.MarkRefusal(h, x.call.ID, e.RetryAfter)
+	g.markClosing(h)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(e.Reason)+1))
+	g.metrics.refused(string(e.Code))
+	g.logRefusal(x, e, status)
+	x.w.WriteHeader(status)
+	if _, err := x.w.Write([]byte(e.Reason + "\n")); err != nil {
+		g.log.Debug().Str("event", "refusal_unread").Str("request", x.call.ID).Str("cause", err.Error()).Msg("")
+	}
+}
--- /dev/null
+++ b/upstream/error.go
@@ -0,0 +1,19 @@
+package upstream
+
+import "fmt"
+
+// Error is a request that ended without a whole answer.
+type Error struct {
+	// Sent says that bytes of the request may have reached the server. While it
+	// is false the request has not run and never will.
+	Sent bool
+	// Op is what failed: "dial", "write" or "read".
+	Op  string
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("upstream: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
