Keep the expert maps in step with popularity from agents beside the ranks

Cause: on map 0 the most loaded rank has 2.9 times the mean, and passes last as long as it does. Added: groupmap (a planner that buys balance with few copies, and a switch that works from what ranks say of themselves), rankagent (reads its own server for free, tells gateways and its group, carries out orders; the agent of rank 0 plans), platform/rank.

The switch: all ranks prepared, then a hold at rank 0, then arms, and go only once every rank says it is armed for the same version and pass. In 400 drawn schedules of late, doubled and reordered orders, frozen and dying agents, idle groups and new epochs: no pass on two maps, no group left held (go test ./groupmap).

Ruled out: arming without a hold (an order that is carried out late meets a group that has gone on).

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -163,18 +163,16 @@
 	if e == nil {
 		return
 	}
-	status, ok := d.statuses[e.Address]
-	if !ok || status.Group.Name == "" {
-		e.health.fail(retry, true)
+	if e.Group.Name == "" {
 		return
 	}
-	g := d.groups[status.Group.Name]
+	g := d.groups[e.Group.Name]
 	if g == nil {
 		g = &group{}
-		d.groups[status.Group.Name] = g
+		d.groups[e.Group.Name] = g
 	}
 	g.brokenUntil = retry
-	g.brokenEpoch = status.Group.Epoch
+	g.brokenEpoch = max(e.Group.Epoch, d.statuses[e.Address].Group.Epoch)
 	d.touch(e.Service)
 }
 
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -39,8 +39,6 @@
 // owner calls Done once.
 type Choice struct {
 	Server
-	// Group the server belongs to, if its agent told.
-	Group Group
 
 	choice *routing.Choice
 }
@@ -76,7 +74,7 @@
 		choice.Done()
 		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").After(reopenGuess)
 	}
-	return &Choice{Server: e.Server, Group: d.statuses[e.Address].Group, choice: choice}, nil
+	return &Choice{Server: e.Server, choice: choice}, nil
 }
 
 // avoided returns the servers that must not be chosen for n.
@@ -86,7 +84,7 @@
 	}
 	out := append([]string(nil), n.Tried...)
 	for id, e := range d.servers {
-		name := d.statuses[e.Address].Group.Name
+		name := e.Group.Name
 		for _, avoid := range n.AvoidGroups {
 			if name == avoid && name != "" {
 				out = append(out, id)
@@ -136,21 +134,33 @@
 		c.Load.At = status.At
 		c.Load.Running = status.Running
 		c.Load.Queued[routing.Standard] = status.Waiting
-		c.Suspected = c.Suspected || !status.Up || closed[status.Group.Name]
+		c.Suspected = c.Suspected || !status.Up
 	}
+	c.Suspected = c.Suspected || closed[e.Group.Name]
 	return c
 }
 
-// closedGroups returns the groups that take no requests. The lock is held.
+// closedGroups returns the groups that take no requests: one word of a rank of
+// the newest epoch is enough. The lock is held.
 func (d *Directory) closedGroups(now time.Time) map[string]bool {
-	closed := make(map[string]bool)
 	newest := make(map[string]uint64)
-	for _, s := range d.statuses {
-		newest[s.Group.Name] = max(newest[s.Group.Name], s.Group.Epoch)
+	for _, e := range d.servers {
+		newest[e.Group.Name] = max(newest[e.Group.Name], e.Group.Epoch, d.statuses[e.Address].Group.Epoch)
 	}
-	for _, s := range d.statuses {
-		if s.Group.Name != "" && (!s.Up || !s.Open) && s.Group.Epoch == newest[s.Group.Name] {
-			closed[s.Group.Name] = true
+	closed := make(map[string]bool)
+	for _, e := range d.servers {
+		name := e.Group.Name
+		if name == "" {
+			continue
+		}
+		status, reported := d.statuses[e.Address]
+		switch {
+		case reported && !status.Up:
+			closed[name] = true
+		case reported && status.Group.Epoch == newest[name] && !status.Open:
+			closed[name] = true
+		case e.Group.Epoch == newest[name] && !e.Open && !(reported && status.Group.Epoch == newest[name]):
+			closed[name] = true
 		}
 	}
 	for name, g := range d.groups {
--- a/backends/server.go
+++ b/backends/server.go
@@ -14,6 +14,10 @@
 	Slots int
 	// Draining servers get no new requests.
 	Draining bool
+	// Group is where a rank belongs, with an empty name for other servers; Open
+	// says that the group takes requests.
+	Group Group
+	Open  bool
 }
 
 // Status is what the agent beside a model server read from it.
--- a/cmd/bluebellwindd/main.go
+++ b/cmd/bluebellwindd/main.go
@@ -24,7 +24,8 @@
 	Entry roleCommand `cmd:"" help:"Run an entry: it takes callers' requests."`
 	Agent roleCommand `cmd:"" help:"Run the agent of one backend server."`
 
-	Gateway nodeCommand `cmd:"" help:"Run a gateway: it takes callers' requests on an outside platform."`
+	Gateway   nodeCommand `cmd:"" help:"Run a gateway: it takes callers' requests on an outside platform."`
+	RankAgent nodeCommand `cmd:"" name:"rank-agent" help:"Run the agent beside one model server of an outside platform."`
 }
 
 // nodeCommand runs a process on an outside platform.
@@ -51,8 +52,11 @@
 }
 
 func start(command string, c *commands) error {
-	if command == "gateway" {
+	switch command {
+	case "gateway":
 		return node.RunGateway(c.Gateway.Config)
+	case "rank-agent":
+		return node.RunRankAgent(c.RankAgent.Config)
 	}
 	role := config.Role(command)
 	file := c.Entry.Config
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -104,7 +104,7 @@
 // on from.
 func (f *Follower) ask(ctx context.Context, revision int64) (int64, error) {
 	wait := watchWait
-	if age, ok := f.Age(); !ok || age > hurryAge {
+	if age, ok := f.Age(); ok && age > hurryAge {
 		wait = hurriedWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
--- /dev/null
+++ b/rankagent/leader.go
@@ -0,0 +1,295 @@
+package rankagent
+
+import (
+	"context"
+	"time"
+
+	"bluebellwind.example/backends"
+	"bluebellwind.example/groupmap"
+	"bluebellwind.example/ingress"
+	"bluebellwind.example/mesh"
+	"bluebellwind.example/mesh/meshpb"
+)
+
+const (
+	// holderRank is the rank whose agent plans and starts switches.
+	holderRank = 0
+	// silentAfter is the silence of an agent after which its rank is read and
+	// ordered from afar, and the holder's part is taken over.
+	silentAfter = 1200 * time.Millisecond
+	// farPeriod is the time between two reads of a rank from afar, which are
+	// priced.
+	farPeriod = 200 * time.Millisecond
+	// popularityFresh is how old the news of a rank's choices may be.
+	popularityFresh = 1200 * time.Millisecond
+	// planPause is the time between two plans without a switch.
+	planPause = 250 * time.Millisecond
+	// settle is the time after a switch in which nothing is planned.
+	settle = 300 * time.Millisecond
+	// leastGain is by how much a plan must lower the busiest rank over the mean.
+	leastGain = 0.08
+)
+
+// planLimits bound one plan: few copies at a time are ready sooner, and what
+// they cost must come back before popularity changes again.
+var planLimits = groupmap.Limits{Target: 1.08, Copies: 40, GainPerCopy: 0.012}
+
+// leader keeps an agent's view of its group and leads it when it is its turn.
+// The agent's lock guards it.
+type leader struct {
+	agent      *Agent
+	group      backends.Group
+	peers      map[int]mesh.Peer
+	servers    map[int]string
+	heard      map[int]time.Time
+	sequences  map[int]uint64
+	far        map[int]time.Time
+	machine    *groupmap.Switch
+	popularity popularity
+	shape      groupmap.Shape
+	planned    time.Time
+	switched   time.Time
+	began      time.Time
+	reading    bool
+}
+
+// observe takes the state of a rank in; from is empty for the own one.
+func (l *leader) observe(g backends.Group, from, server string, state groupmap.RankState, sequence uint64, now time.Time) {
+	if from == "" && (l.machine == nil || l.group.Name != g.Name || l.group.Size != g.Size || l.group.Rank != g.Rank) {
+		l.join(g)
+	}
+	if l.machine == nil || g.Rank >= l.group.Size {
+		return
+	}
+	l.servers[g.Rank] = server
+	if from != "" && sequence <= l.sequences[g.Rank] && now.Sub(l.heard[g.Rank]) < silentAfter {
+		return // An older datagram that was overtaken.
+	}
+	l.sequences[g.Rank] = sequence
+	l.heard[g.Rank] = now
+	l.machine.Observe(g.Rank, state)
+}
+
+func (l *leader) join(g backends.Group) {
+	l.group = g
+	l.peers = make(map[int]mesh.Peer)
+	l.servers = make(map[int]string)
+	l.heard = make(map[int]time.Time)
+	l.sequences = make(map[int]uint64)
+	l.far = make(map[int]time.Time)
+	l.machine = groupmap.NewSwitch(g.Size, g.Rank == holderRank, groupmap.SwitchTiming{})
+}
+
+// meet notes which agent stands beside a rank.
+func (l *leader) meet(p mesh.Peer, rank int) {
+	if l.peers != nil && rank < l.group.Size {
+		l.peers[rank] = p
+	}
+}
+
+// agents returns whom to tell how the own rank stands: the group's agents, and
+// all agents until those are known.
+func (l *leader) agents() []mesh.Peer {
+	if l.machine == nil || len(l.peers) < l.group.Size-1 {
+		return l.agent.mesh.Peers(mesh.RankAgent)
+	}
+	out := make([]mesh.Peer, 0, len(l.peers))
+	for rank, p := range l.peers {
+		if rank != l.group.Rank {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// holderAgent returns the agent that plans; own says that it is this one.
+func (l *leader) holderAgent() (p mesh.Peer, own bool) {
+	if l.group.Rank == holderRank {
+		return mesh.Peer{}, true
+	}
+	return l.peers[holderRank], false
+}
+
+// leads says whether this agent gives orders: the holder's does, and while it
+// is silent the first that is not.
+func (l *leader) leads(now time.Time) bool {
+	for rank := range l.group.Rank {
+		if now.Sub(l.heard[rank]) < silentAfter {
+			return false
+		}
+	}
+	return l.machine != nil
+}
+
+// tick plans, and gives the orders that are due.
+func (l *leader) tick(ctx context.Context) {
+	a := l.agent
+	now := time.Now()
+	a.mu.Lock()
+	if !l.leads(now) || !a.up {
+		a.mu.Unlock()
+		return
+	}
+	l.plan(ctx, now)
+	floor := uint64(a.options.Uptime().Milliseconds())
+	orders := l.machine.Tick(now, floor)
+	sends := make([]func(), 0, len(orders))
+	for _, o := range orders {
+		sends = append(sends, l.send(ctx, o, now))
+	}
+	silent := l.silentRanks(now)
+	a.mu.Unlock()
+	for _, send := range sends {
+		send()
+	}
+	for rank, server := range silent {
+		go l.readFar(ctx, rank, server)
+	}
+}
+
+// send returns what carries an order to its rank.
+func (l *leader) send(ctx context.Context, o groupmap.Order, now time.Time) func() {
+	a := l.agent
+	if o.Rank == l.group.Rank {
+		return func() { go a.carryOut(ctx, a.engine, o) }
+	}
+	peer, known := l.peers[o.Rank]
+	if !known || now.Sub(l.heard[o.Rank]) >= silentAfter {
+		engine := a.options.Dial(l.servers[o.Rank])
+		return func() { go a.carryOut(ctx, engine, o) }
+	}
+	message := &meshpb.RankOrder{
+		Kind: uint32(o.Kind), Group: l.group.Name, Epoch: o.Epoch, Version: o.Version, Step: o.Step, Rank: uint32(o.Rank),
+	}
+	if o.Map != nil {
+		message.Map = o.Map.AppendBinary(nil)
+	}
+	return func() { a.mesh.Send(&meshpb.Packet{Order: message}, peer) }
+}
+
+// silentRanks returns the servers whose agents are silent and that are due to
+// be read from afar, while a switch is under way.
+func (l *leader) silentRanks(now time.Time) map[int]string {
+	if l.machine.Ready() {
+		return nil
+	}
+	out := make(map[int]string)
+	for rank, server := range l.servers {
+		if rank == l.group.Rank || now.Sub(l.heard[rank]) < silentAfter || now.Sub(l.far[rank]) < farPeriod {
+			continue
+		}
+		l.far[rank] = now
+		out[rank] = server
+	}
+	return out
+}
+
+// readFar reads a rank whose agent is silent.
+func (l *leader) readFar(ctx context.Context, rank int, server string) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	report, err := l.agent.options.Dial(server).Report(ctx)
+	if err != nil {
+		l.agent.log.Debug().Str("event", "rank_unread").Int("rank", rank).Str("cause", err.Error()).Msg("")
+		return
+	}
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	if report.Group.Name == l.group.Name && report.Group.Rank == rank {
+		l.machine.Observe(rank, report.State)
+	}
+}
+
+// plan starts a switch to a better map if one is worth its cost.
+func (l *leader) plan(ctx context.Context, now time.Time) {
+	if l.group.Rank != holderRank || !l.machine.Ready() {
+		if l.group.Rank == holderRank && l.machine != nil {
+			l.switched = now
+		}
+		return
+	}
+	if now.Sub(l.planned) < planPause || now.Sub(l.switched) < settle || !l.allHeard(now) {
+		return
+	}
+	if l.shape.Sets == 0 {
+		l.readShape(ctx)
+		return
+	}
+	l.planned = now
+	version, epoch := l.machine.Version()
+	load := l.popularity.loads()
+	current := l.popularity.current(version, now, popularityFresh)
+	if load == nil || current == nil || l.popularity.epoch != epoch || current.Validate(l.shape) != nil {
+		return
+	}
+	l.machine.Use(current)
+	out := groupmap.Plan(current, load, l.shape, planLimits)
+	l.agent.meters.skew.Store(int64(out.Before * 1000))
+	if out.Before-out.After < leastGain {
+		return
+	}
+	out.Map.Version = l.machine.NextVersion(uint64(l.agent.options.Uptime().Milliseconds()))
+	if l.machine.Start(out.Map, now) {
+		l.agent.meters.switches.Inc()
+		l.agent.log.Info().Str("event", "map_planned").Str("group", l.group.Name).Uint64("epoch", epoch).
+			Uint64("version", out.Map.Version).Int("copies", out.Copies).
+			Float64("skew_before", out.Before).Float64("skew_after", out.After).Msg("")
+	}
+}
+
+// allHeard says that all ranks have told lately how they stand.
+func (l *leader) allHeard(now time.Time) bool {
+	for rank := range l.group.Size {
+		if now.Sub(l.heard[rank]) >= silentAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// readShape reads the dimensions of the group's maps, which do not change while
+// the group lives.
+func (l *leader) readShape(ctx context.Context) {
+	if l.reading {
+		return
+	}
+	l.reading = true
+	group := l.group
+	go func() {
+		shape := l.agent.shapeOf(ctx, group)
+		l.agent.mu.Lock()
+		defer l.agent.mu.Unlock()
+		l.reading = false
+		l.planned = time.Now().Add(shapeRetry)
+		if shape.Sets > 0 {
+			l.shape, l.planned = shape, time.Time{}
+		}
+	}()
+}
+
+const (
+	shapeTimeout = time.Second
+	shapeRetry   = time.Second
+)
+
+// shapeOf reads the dimensions from the configuration; zero if it cannot.
+func (a *Agent) shapeOf(ctx context.Context, g backends.Group) groupmap.Shape {
+	ctx, cancel := context.WithTimeout(ctx, shapeTimeout)
+	defer cancel()
+	config, err := a.options.Config(ctx)
+	if err != nil || config == nil {
+		a.log.Warn().Str("event", "config_unread").Msg("")
+		return groupmap.Shape{}
+	}
+	for _, s := range config.Services {
+		if s.Name == a.options.Service && s.Engine != nil {
+			return shape(s.Engine.Experts, g.Size)
+		}
+	}
+	a.log.Warn().Str("event", "service_unknown").Str("service", a.options.Service).Msg("")
+	return groupmap.Shape{}
+}
+
+func shape(e ingress.Experts, ranks int) groupmap.Shape {
+	return groupmap.Shape{Sets: e.Sets, Ranks: ranks, Experts: e.PerSet, Places: e.Places, Spare: e.Spare}
+}
--- /dev/null
+++ b/rankagent/metrics.go
@@ -0,0 +1,43 @@
+package rankagent
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the counters of one agent.
+type meters struct {
+	set      *metrics.Set
+	switches *metrics.Counter
+	// skew is the load of the busiest rank over the mean at the last plan, in
+	// thousandths.
+	skew atomic.Int64
+}
+
+func newMeters(a *Agent) *meters {
+	set := metrics.NewSet()
+	m := &meters{set: set, switches: set.NewCounter("bluebellwind_map_switches_total")}
+	set.NewGauge("bluebellwind_rank_skew", func() float64 { return float64(m.skew.Load()) / 1000 })
+	set.NewGauge("bluebellwind_rank_up", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.up {
+			return 1
+		}
+		return 0
+	})
+	return m
+}
+
+func (m *meters) ordered(kind string, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_rank_orders_total{kind=%q,result=%q}", kind, result)).Inc()
+}
+
+// Metrics returns the metrics of the agent.
+func (a *Agent) Metrics() *metrics.Set { return a.meters.set }
