Refuse early when all slots are taken, and live on peers while the store does not answer

With half of the ranks gone, all new requests queued and all became late. Gateways that the store turned away refused although their neighbours had a fresh proof.

Change: backends weighs the wait for a slot against what the request may wait; callers of a broken group come back after 2.1 s or more; a gateway whose own proof is older than two seconds asks others for version, servers and proof.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 type Directory struct {
 	zone string
 	seed uint64
+	rng  *rand.Rand
 
 	mu      sync.Mutex
 	servers map[string]*entry
@@ -50,6 +52,7 @@
 	return &Directory{
 		zone:     zone,
 		seed:     seed,
+		rng:      rand.New(rand.NewPCG(seed, ^seed)),
 		servers:  make(map[string]*entry),
 		statuses: make(map[string]Status),
 		groups:   make(map[string]*group),
@@ -137,6 +140,17 @@
 	return slices.Sorted(maps.Keys(d.servers))
 }
 
+// Published returns the servers, also those that are given time to come back.
+func (d *Directory) Published() []Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Server, 0, len(d.servers))
+	for _, e := range d.servers {
+		out = append(out, e.Server)
+	}
+	return out
+}
+
 // Report takes the status that an agent read from the server at an address. It
 // reports whether the group's being open changed by it.
 func (d *Directory) Report(address string, s Status) (changed bool) {
@@ -224,4 +238,6 @@
 	table    *routing.Table
 	outdated bool
 	updated  time.Time
+	// service is how long a request holds a slot.
+	service time.Duration
 }
--- /dev/null
+++ b/backends/directory_test.go
@@ -0,0 +1,150 @@
+package backends
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/ingress"
+	"bluebellwind.example/verdict"
+)
+
+var start = time.Unix(1000, 0)
+
+// twoGroups publishes two open groups of four ranks with three slots each.
+func twoGroups() *Directory {
+	d := NewDirectory("z", 1)
+	for g := range 2 {
+		for rank := range 4 {
+			d.Put(rankServer(g, rank, 1, true))
+		}
+	}
+	return d
+}
+
+func rankServer(g, rank int, epoch uint64, open bool) Server {
+	id := fmt.Sprintf("g%d-%d", g, rank)
+	return Server{
+		ID: id, Service: "llm", Address: id + ":1", Zone: "z", Slots: 3, Open: open,
+		Group: Group{Name: fmt.Sprintf("g%d", g), Epoch: epoch, Rank: rank, Size: 4},
+	}
+}
+
+func status(g, rank int, epoch uint64, up, open bool, at time.Time) Status {
+	return Status{Up: up, Open: open, Group: rankServer(g, rank, epoch, open).Group, At: at}
+}
+
+func need() Need {
+	return Need{
+		Name: "llm", Service: &ingress.Service{Name: "llm", Engine: &ingress.Engine{Slots: 3, Step: 10 * time.Millisecond, AnswerTokens: 100}},
+		Objective: 400 * time.Millisecond, Remaining: 8 * time.Second, Processes: 1,
+	}
+}
+
+// groupsChosen returns how many of n choices fell on each group.
+func groupsChosen(t *testing.T, d *Directory, n int, now time.Time) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for range n {
+		c, err := d.Pick(need(), now)
+		assert.NilError(t, err)
+		out[c.Group.Name]++
+		c.Done()
+	}
+	return out
+}
+
+func TestOneLostRankTakesItsWholeGroupOut(t *testing.T) {
+	d := twoGroups()
+	assert.Equal(t, len(groupsChosen(t, d, 8, start)), 2)
+	d.Report("g0-2:1", Status{Up: false, At: start})
+	assert.Equal(t, groupsChosen(t, d, 8, start)["g0"], 0)
+}
+
+func TestGroupThatOpensInANewEpochIsTakenBack(t *testing.T) {
+	d := twoGroups()
+	d.GroupBroken("g0-1", start.Add(10*time.Second))
+	assert.Equal(t, groupsChosen(t, d, 8, start)["g0"], 0)
+	now := start.Add(time.Second)
+	for rank := range 4 {
+		d.Report(fmt.Sprintf("g0-%d:1", rank), status(0, rank, 2, true, true, now))
+	}
+	assert.Assert(t, groupsChosen(t, d, 8, now)["g0"] > 0)
+}
+
+func TestWordOfAnOlderEpochDoesNotCloseAGroup(t *testing.T) {
+	d := twoGroups()
+	d.Put(rankServer(0, 0, 2, true))
+	d.Put(rankServer(0, 1, 1, false))
+	assert.Assert(t, groupsChosen(t, d, 8, start)["g0"] > 0)
+}
+
+func TestWithoutAnOpenGroupCallersComeBackLater(t *testing.T) {
+	d := twoGroups()
+	for g := range 2 {
+		d.Report(fmt.Sprintf("g%d-0:1", g), status(g, 0, 1, true, false, start))
+	}
+	_, err := d.Pick(need(), start)
+	e := verdict.From(err)
+	assert.Equal(t, e.Verdict, verdict.NotRun)
+	assert.Assert(t, e.RetryAfter >= groupReturn)
+}
+
+func TestFullGroupsRefuseNewRequestsAtOnce(t *testing.T) {
+	d := twoGroups()
+	for g := range 2 {
+		for rank := range 4 {
+			s := status(g, rank, 1, true, true, start)
+			s.Running, s.Waiting = 3, 2
+			d.Report(fmt.Sprintf("g%d-%d:1", g, rank), s)
+		}
+	}
+	_, err := d.Pick(need(), start)
+	assert.Equal(t, verdict.From(err).Code, verdict.Overloaded)
+	back := need()
+	back.Returned = true
+	_, err = d.Pick(back, start)
+	assert.NilError(t, err)
+}
+
+func TestDrainingAndRemovedServersGetNothing(t *testing.T) {
+	d := NewDirectory("z", 1)
+	a := Server{ID: "a", Service: "app", Address: "a:1", Zone: "z", Slots: 1}
+	b := a
+	b.ID, b.Address = "b", "b:1"
+	d.Put(a)
+	d.Put(b)
+	a.Draining = true
+	d.Put(a)
+	for range 5 {
+		c, err := d.Pick(Need{Name: "app"}, start)
+		assert.NilError(t, err)
+		assert.Equal(t, c.ID, "b")
+		c.Done()
+	}
+	d.Remove("b", 0, start)
+	_, err := d.Pick(Need{Name: "app"}, start)
+	assert.Equal(t, verdict.From(err).Code, verdict.Unavailable)
+}
+
+func TestFailingServerIsLeftOutLongerEachTime(t *testing.T) {
+	h := &health{}
+	h.fail(start, false)
+	assert.Assert(t, !h.excluded(start), "one lost answer is no evidence")
+	now := start
+	var spans []time.Duration
+	for range 4 {
+		h.fail(now, true)
+		spans = append(spans, h.until.Sub(now))
+		now = h.until
+		h.succeed(now)
+	}
+	for i := 1; i < len(spans); i++ {
+		assert.Assert(t, spans[i] > spans[i-1], "%v", spans)
+	}
+	h.succeed(now.Add(forgiveness + time.Second))
+	h.fail(now.Add(forgiveness+2*time.Second), true)
+	assert.Equal(t, h.until.Sub(now.Add(forgiveness+2*time.Second)), firstExclusion)
+}
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -19,9 +19,17 @@
 	zoneDistance = 2 * time.Millisecond
 	// plainCall is the time that a call of a plain service takes, about.
 	plainCall = 40 * time.Millisecond
-	// reopenGuess is when a refused caller may find a group open again, if
-	// nothing is known of when it broke.
-	reopenGuess = 800 * time.Millisecond
+	// groupReturn and its spread are when a caller comes back that was refused
+	// for a broken group: a rank that is gone stalls its group first, starts
+	// again and joins a new epoch.
+	groupReturn       = 2100 * time.Millisecond
+	groupReturnSpread = 600 * time.Millisecond
+	// plainReturn is the same for servers that are left out on evidence.
+	plainReturn       = 300 * time.Millisecond
+	plainReturnSpread = 300 * time.Millisecond
+	// overloadReturn is the same where all slots are taken.
+	overloadReturn       = 1200 * time.Millisecond
+	overloadReturnSpread = 1300 * time.Millisecond
 )
 
 // Need is what a choice must know of a request.
@@ -31,6 +39,13 @@
 	// PromptTokens of the request; zero for plain services.
 	PromptTokens int
 	Tried        []string
+	// Objective is the time in which the answer should begin; Remaining what is
+	// left until the caller's deadline, zero if it set none.
+	Objective, Remaining time.Duration
+	// Returned says that the caller was refused before.
+	Returned bool
+	// Processes is how many gateways send to the same servers.
+	Processes int
 	// AvoidGroups are groups that the request has already failed in.
 	AvoidGroups []string
 }
@@ -60,10 +75,16 @@
 		d.tables[n.Name] = t
 	}
 	if t.outdated || now.Sub(t.updated) > refreshPeriod {
-		t.table.Update(d.view(n, now))
+		view := d.view(n, now)
+		t.table.Update(view)
+		t.service = time.Duration(view.MeanTokens * float64(view.StepTime))
 		t.outdated, t.updated = false, now
 	}
 	r := routing.Request{PromptTokens: n.PromptTokens, Tried: d.avoided(n)}
+	if wait := t.wait(n, r); wait > patienceOf(n) {
+		return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "all slots are taken and others wait").
+			After(d.returnAfter(wait))
+	}
 	choice, err := t.table.Pick(r, now)
 	if err != nil {
 		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "no backend server can take this request").
@@ -72,11 +93,20 @@
 	e := d.servers[choice.Server]
 	if e == nil {
 		choice.Done()
-		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").After(reopenGuess)
+		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").After(plainReturn)
 	}
 	return &Choice{Server: e.Server, choice: choice}, nil
 }
 
+// wait is how long the request would wait for a slot. Plain services report no
+// load, and refuse themselves.
+func (t *serviceTable) wait(n Need, r routing.Request) time.Duration {
+	if n.Service == nil || n.Service.Engine == nil {
+		return 0
+	}
+	return pressure{backlog: t.table.Backlog(r), processes: n.Processes, service: t.service}.wait()
+}
+
 // avoided returns the servers that must not be chosen for n.
 func (d *Directory) avoided(n Need) []string {
 	if len(n.AvoidGroups) == 0 {
@@ -171,21 +201,27 @@
 	return closed
 }
 
-// reopens returns when a refused caller may come back.
+// reopens returns when a refused caller may find a server again. A broken group
+// needs seconds; a server that is left out on evidence is tried again sooner.
 func (d *Directory) reopens(service string, now time.Time) time.Duration {
-	soonest := time.Duration(0)
+	closed := d.closedGroups(now)
 	for _, e := range d.servers {
-		if e.Service != service || !e.health.excluded(now) {
-			continue
+		if e.Service == service && e.Group.Name != "" && closed[e.Group.Name] {
+			return d.spread(groupReturn, groupReturnSpread)
 		}
-		if wait := e.health.until.Sub(now); soonest == 0 || wait < soonest {
-			soonest = wait
-		}
-	}
-	if soonest == 0 {
-		return reopenGuess
 	}
-	return soonest
+	return d.spread(plainReturn, plainReturnSpread)
+}
+
+// returnAfter returns when a caller that was refused for load may come back:
+// once what waits now has been served, and not all at the same moment.
+func (d *Directory) returnAfter(wait time.Duration) time.Duration {
+	return d.spread(max(wait, overloadReturn), overloadReturnSpread)
+}
+
+// spread draws a time, so that callers refused together come back apart.
+func (d *Directory) spread(least, width time.Duration) time.Duration {
+	return least + time.Duration(d.rng.Int64N(int64(width)))
 }
 
 // StatusOf returns the latest status of a server, if there is one.
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -40,7 +40,9 @@
 	source    Source
 	directory *backends.Directory
 	log       *log.Logger
-	table     atomic.Pointer[ingress.Table]
+	// peers returns the addresses of other gateways, IP:port.
+	peers func() []string
+	table atomic.Pointer[ingress.Table]
 	// proven is the boot time at which the question was sent whose answer
 	// proved the configuration to be the newest; 0 means never.
 	proven atomic.Int64
@@ -48,14 +50,17 @@
 	failed atomic.Int64
 
 	mu sync.Mutex
+	// revision of the source that the table and the directory are of.
+	revision int64
 	// lastFailure is when a question failed last.
 	lastFailure time.Time
 	lost        bool
 }
 
-// NewFollower returns a Follower that has read nothing yet.
-func NewFollower(source Source, directory *backends.Directory, logger *log.Logger) *Follower {
-	return &Follower{source: source, directory: directory, log: logger}
+// NewFollower returns a Follower that has read nothing yet. peers returns the
+// addresses of other gateways, which are asked while the source does not answer.
+func NewFollower(source Source, directory *backends.Directory, peers func() []string, logger *log.Logger) *Follower {
+	return &Follower{source: source, directory: directory, peers: peers, log: logger}
 }
 
 // Table returns the newest configuration, or nil before the first was read.
@@ -74,13 +79,14 @@
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
+	go f.followPeers(ctx)
 	var revision int64
 	retry := minRetry
 	for ctx.Err() == nil {
 		next, err := f.ask(ctx, revision)
 		if err == nil {
 			revision, retry = next, minRetry
-			f.regained()
+			f.regained(revision)
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
@@ -129,8 +135,11 @@
 	return changes.Revision, nil
 }
 
+// prove notes that the table was the newest configuration at a boot time.
 func (f *Follower) prove(sent time.Duration) {
-	if f.table.Load() != nil {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table.Load() != nil && int64(sent) > f.proven.Load() {
 		f.proven.Store(int64(sent))
 	}
 }
@@ -168,6 +177,8 @@
 	if c == nil {
 		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if old := f.table.Load(); old != nil && old.Version() >= c.Version {
 		return
 	}
@@ -203,9 +214,10 @@
 	f.log.Warn().Str("event", "source_lost").Str("cause", err.Error()).Msg("")
 }
 
-func (f *Follower) regained() {
+func (f *Follower) regained(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.revision = revision
 	if !f.lost {
 		return
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -27,10 +27,13 @@
 	// organisation is empty on public routes.
 	organisation string
 	keyed        bool
-	urgency      int
-	body         []byte
-	arrived      time.Time
-	deadline     time.Time
+	// returned says that the caller was refused before: it has used up a part of
+	// its time already.
+	returned bool
+	urgency  int
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
 
 	// sends is how many servers may have seen the request.
 	sends int
@@ -77,6 +80,8 @@
 		choice, err := x.g.directory.Pick(backends.Need{
 			Service: x.service, Name: x.name, PromptTokens: x.call.PromptTokens,
 			Tried: x.tried, AvoidGroups: x.avoidGroups,
+			Objective: x.route.Objective, Remaining: time.Until(x.deadline),
+			Returned: x.returned || x.sends > 0, Processes: x.g.processes(),
 		}, time.Now())
 		if err != nil {
 			x.giveUp(verdict.From(err))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,9 +18,11 @@
 	// deadlineMargin is taken off the time of a request, so that its answer
 	// reaches the caller in time.
 	deadlineMargin = 10 * time.Millisecond
-	// urgencyNewcomer is the rank of an ordinary request at a server.
-	urgencyNewcomer = 5
-	maxUrgency      = 9
+	// maxUrgency is the rank that servers serve last.
+	maxUrgency = 9
+	// returnedSlack is how much less than the route's timeout a first attempt
+	// may have left.
+	returnedSlack = 50 * time.Millisecond
 )
 
 // serve answers one request of a caller.
@@ -85,6 +87,7 @@
 	}
 	x.name = x.route.Choose(rand.Float64())
 	x.service = table.Service(x.name)
+	x.returned = x.call.Remaining > 0 && x.call.Remaining < x.route.Timeout-returnedSlack
 	x.deadline = deadline(x.arrived, x.route, x.call.Remaining)
 	last, err := strconv.ParseUint(x.call.LastEvent, 10, 64)
 	if err == nil {
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -59,6 +59,9 @@
 // Version returns the version of the Config.
 func (t *Table) Version() int64 { return t.config.Version }
 
+// Config returns the Config, which must not be changed.
+func (t *Table) Config() *Config { return t.config }
+
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -63,8 +64,6 @@
 
 	incarnation := uint64(time.Now().UnixNano())
 	directory := backends.NewDirectory(settings.Zone, seedOf(settings.Name)^incarnation)
-	source := platform.NewSource(platform.NewStore(settings.Store), logger.Logger)
-	follower := discovery.NewFollower(source, directory, logger.Logger)
 	peers, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
 			ID: settings.Name, Address: settings.Mesh, Role: mesh.Gateway, Zone: settings.Zone, Incarnation: incarnation,
@@ -77,6 +76,12 @@
 	if err != nil {
 		return err
 	}
+	source := platform.NewSource(platform.NewStore(settings.Store), logger.Logger)
+	follower := discovery.NewFollower(source, directory, gatewayAddresses(peers), logger.Logger)
+	forPeers, err := net.Listen("tcp", settings.Mesh)
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
 	g := gateway.New(gateway.Options{
 		Callers:   settings.Callers,
 		Ready:     settings.Ready,
@@ -89,6 +94,11 @@
 		Log:       logger.Logger,
 	})
 	go peers.Run(background)
+	go func() {
+		if err := follower.ServePeers(background, forPeers); err != nil && background.Err() == nil {
+			logger.Error().Str("event", "peers_unserved").Str("cause", err.Error()).Msg("")
+		}
+	}()
 	go follower.Run(background)
 	go reportDrops(background, logger)
 	go reloadOnHangup(background, file, logger, g)
@@ -100,6 +110,18 @@
 	return g.Serve(ctx)
 }
 
+// gatewayAddresses returns where other gateways are asked for what is published.
+func gatewayAddresses(node *mesh.Node) func() []string {
+	return func() []string {
+		peers := node.Peers(mesh.Gateway)
+		out := make([]string, 0, len(peers))
+		for _, p := range peers {
+			out = append(out, p.Address)
+		}
+		return out
+	}
+}
+
 func boundsOf(s *config.Node) gateway.Bounds {
 	return gateway.Bounds{
 		KeyProof: s.Bounds.RevokeBound() - proofMargin,
--- /dev/null
+++ b/routing/retry/window_test.go
@@ -0,0 +1,71 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/routing/retry"
+)
+
+// Seven processes with uneven traffic lose half of their servers at once and
+// try everything again: no window of ten seconds may hold more retries than the
+// ratio of its requests and the free ones.
+func TestRetriesOfAllProcessesStayInTheBudget(t *testing.T) {
+	const (
+		span      = 10 * time.Second
+		ratio     = 0.2
+		free      = 90.0
+		processes = 7
+		tick      = 20 * time.Millisecond
+	)
+	rng := rand.New(rand.NewPCG(5, 6))
+	windows := make([]*retry.Window, processes)
+	for i := range windows {
+		windows[i] = retry.NewWindow(retry.WindowConfig{Span: span * 11 / 10, Ratio: ratio, Free: free, Reserve: 0.1})
+	}
+	var requests, retries []time.Duration
+	start := time.Unix(1000, 0)
+	for at := time.Duration(0); at < 60*time.Second; at += tick {
+		broken := at%(15*time.Second) > 8*time.Second
+		for i, w := range windows {
+			if rng.IntN(3*(i+1)) != 0 {
+				continue
+			}
+			w.Request("s", start.Add(at))
+			requests = append(requests, at)
+			for range 3 {
+				if broken && w.Retry("s", processes, start.Add(at)) {
+					retries = append(retries, at)
+				}
+			}
+		}
+	}
+	assert.Assert(t, len(retries) > 100)
+	for end := span; end < 60*time.Second; end += 50 * time.Millisecond {
+		again := within(retries, end-span, end)
+		allowed := ratio*float64(within(requests, end-span, end)) + free
+		assert.Assert(t, float64(again) <= allowed, "%d retries up to %v, %.0f allowed", again, end, allowed)
+	}
+}
+
+func within(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at > from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWindowForgets(t *testing.T) {
+	w := retry.NewWindow(retry.WindowConfig{Span: time.Second, Free: 1})
+	now := time.Unix(1000, 0)
+	assert.Assert(t, w.Retry("s", 1, now))
+	assert.Assert(t, !w.Retry("s", 1, now.Add(900*time.Millisecond)))
+	assert.Assert(t, w.Retry("other", 1, now))
+	assert.Assert(t, w.Retry("s", 1, now.Add(1100*time.Millisecond)))
+}
