A request whose answer broke off may have run

Cause: the mark was set only on some ways of a failed answer. Now it is set before the first byte goes out and taken back only by the server's own promise.

Test: TestAnswerThatBreaksOffPromisesNothing, 503 before, 502 after.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,7 +41,8 @@
 	tries       int
 	tried       []string
 	avoidGroups []string
-	// mayHaveRun is set once a server may have begun the request.
+	// mayHaveRun is set before the first byte goes to a server, and taken back
+	// only by that server's promise.
 	mayHaveRun bool
 	// headSent is set once the caller has got the head of the answer.
 	headSent bool
@@ -154,6 +155,7 @@
 	defer cancel()
 	began := time.Now()
 	x.cause = ""
+	before := x.mayHaveRun
 	answer, err := x.g.pool.Send(ctx, x.outgoing(choice))
 	if err != nil {
 		return x.failedSend(choice, err, began)
@@ -161,6 +163,7 @@
 	defer answer.Close()
 	notes := x.g.format.ReadNotes(answer.Status, answer.Header)
 	if notes.NotRun {
+		x.mayHaveRun = before
 		return x.refused(choice, answer, notes)
 	}
 	if answer.Status >= http.StatusInternalServerError && !x.stuck() {
@@ -221,6 +224,7 @@
 		return errStale
 	}
 	x.sends++
+	x.mayHaveRun = true
 	if x.sends == 1 {
 		x.g.budget.Request(x.name, time.Now())
 	}
@@ -234,7 +238,6 @@
 	}
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
-	x.mayHaveRun = x.mayHaveRun || sent
 	if x.ctx.Err() != nil {
 		return ended
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -56,6 +56,20 @@
 	assert.Equal(t, a.runs.Load()+b.runs.Load(), int64(1))
 }
 
+// Seen on canopy-coop-grown trouble-2: a server crashed in its answer, and the
+// caller was told that its pledge had not been recorded.
+func TestAnswerThatBreaksOffPromisesNothing(t *testing.T) {
+	s := newStage(t)
+	s.server("a", func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\nhalf")
+		c.Close()
+	})
+	s.start()
+	got := s.call("/once/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+}
+
 func TestIdempotentRequestGoesToAnotherServer(t *testing.T) {
 	failures := map[string]func(net.Conn, *http.Request){
 		"closed":  func(c net.Conn, _ *http.Request) { c.Close() },
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -81,6 +81,5 @@
 // stuck says that no other server may take the request, so that waiting is all
 // that is left.
 func (x *exchange) stuck() bool {
-	x.mayHaveRun = true // The request is out.
 	return x.barred(broken) != "" || x.g.budget.Left(x.name, x.g.processes(), time.Now()) < 1
 }
