--- a/backends/directory.go
+++ b/backends/directory.go
@@ -201,6 +201,16 @@
 	}
 }
 
+// Erred notes a whole answer with an error of the server's own.
+func (d *Directory) Erred(id string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.servers[id]; e != nil {
+		e.health.fault(now)
+		d.touch(e.Service)
+	}
+}
+
 // Answered notes a whole answer of a server, with the load that it stated.
 func (d *Directory) Answered(id string, load *Load, now time.Time) {
 	d.mu.Lock()
--- a/backends/health.go
+++ b/backends/health.go
@@ -10,6 +10,9 @@
 	// failuresTolerated is how many failures in a row leave a server in choice:
 	// one lost answer is no evidence against it.
 	failuresTolerated = 1
+	// errorsTolerated is how many answers with an error of its own in a row leave
+	// a server in choice: some errors are the request's.
+	errorsTolerated = 2
 	// forgiveness is how long after its last failure a server that answers
 	// again has its earlier failures forgotten.
 	forgiveness = 5 * time.Second
@@ -18,6 +21,7 @@
 // health is what requests showed of one server.
 type health struct {
 	failures    int
+	errors      int
 	exclusions  int
 	lastFailure time.Time
 	until       time.Time
@@ -31,6 +35,20 @@
 	if !hard && h.failures <= failuresTolerated {
 		return
 	}
+	h.exclude(now)
+}
+
+// fault notes an answer with an error of the server's own.
+func (h *health) fault(now time.Time) {
+	h.errors++
+	if h.errors > errorsTolerated {
+		h.lastFailure = now
+		h.exclude(now)
+	}
+}
+
+// exclude leaves the server out, longer each time.
+func (h *health) exclude(now time.Time) {
 	if now.Before(h.until) {
 		return
 	}
@@ -40,7 +58,7 @@
 
 // succeed notes a whole answer.
 func (h *health) succeed(now time.Time) {
-	h.failures = 0
+	h.failures, h.errors = 0, 0
 	if now.Sub(h.lastFailure) > forgiveness {
 		h.exclusions = 0
 	}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -22,6 +22,9 @@
 	hurriedWait = time.Millisecond
 	// hurryAge is the age of the proof from which questions hurry.
 	hurryAge = 2500 * time.Millisecond
+	// changePause is the pause after a change: changes come in groups, and each
+	// question is priced.
+	changePause = 350 * time.Millisecond
 	// answerTime is how long the source may take on top of the wait.
 	answerTime = 900 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed question.
@@ -85,8 +88,12 @@
 	for ctx.Err() == nil {
 		next, err := f.ask(ctx, revision)
 		if err == nil {
+			changed := next != revision
 			revision, retry = next, minRetry
 			f.regained(revision)
+			if changed {
+				pause(ctx, changePause)
+			}
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
@@ -98,14 +105,19 @@
 			return
 		}
 		f.unreachable(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retry):
-		}
+		pause(ctx, retry)
 		retry = min(2*retry, maxRetry)
 	}
 }
 
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // ask puts one question and takes its answer in. It returns the revision to go
 // on from.
 func (f *Follower) ask(ctx context.Context, revision int64) (int64, error) {
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -126,7 +126,12 @@
 	f := follow(t, s)
 	poll.WaitOn(t, version(f, 7))
 	s.set(func(s *fakeSource) { s.down = true })
-	time.Sleep(150 * time.Millisecond)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, failed := f.Calls(); failed > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the outage is not noticed yet")
+	})
 	s.set(func(s *fakeSource) { s.down, s.gone, s.published.Servers = false, true, nil })
 	time.Sleep(400 * time.Millisecond)
 	assert.DeepEqual(t, f.directory.IDs(), []string{"a"})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -166,10 +166,12 @@
 		x.mayHaveRun = before
 		return x.refused(choice, answer, notes)
 	}
-	if answer.Status >= http.StatusInternalServerError && !x.stuck() {
-		x.cause = "the server answered " + strconv.Itoa(answer.Status)
-		x.g.directory.Answered(choice.ID, notes.Load, time.Now())
-		return broken
+	if answer.Status >= http.StatusInternalServerError {
+		x.g.directory.Erred(choice.ID, time.Now())
+		if !x.stuck() {
+			x.cause = "the server answered " + strconv.Itoa(answer.Status)
+			return broken
+		}
 	}
 	if x.headSent && answer.Status != http.StatusOK {
 		x.cause = "the server cannot resume"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return x.brokeOff(choice, err)
 	}
-	x.g.directory.Answered(choice.ID, notes.Load, time.Now())
+	x.answered(choice, answer, notes)
 	x.writeHead(answer, len(body))
 	if _, err := x.w.Write(body); err != nil {
 		return ended
@@ -47,11 +47,18 @@
 	if _, err := io.Copy(x.w, answer); err != nil {
 		return x.brokeOff(choice, err)
 	}
-	x.g.directory.Answered(choice.ID, notes.Load, time.Now())
+	x.answered(choice, answer, notes)
 	x.g.logEnd(x, "answered", strconv.Itoa(answer.Status))
 	return done
 }
 
+// answered notes a whole answer, unless it was an error, which is noted before.
+func (x *exchange) answered(choice *backends.Choice, answer *upstream.Answer, notes Notes) {
+	if answer.Status < http.StatusInternalServerError {
+		x.g.directory.Answered(choice.ID, notes.Load, time.Now())
+	}
+}
+
 // brokeOff judges an answer that ended in its middle.
 func (x *exchange) brokeOff(choice *backends.Choice, err error) outcome {
 	if x.ctx.Err() != nil {
--- a/groupmap/map.go
+++ b/groupmap/map.go
@@ -1,7 +1,9 @@
 package groupmap
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -91,59 +93,105 @@
 	return nil
 }
 
-// AppendBinary appends the experts, two bytes each, with their numbers by set
-// and rank before them.
+// AppendBinary appends the experts of each set and rank after their number.
 func (m *Map) AppendBinary(b []byte) []byte {
-	b = append(b, byte(len(m.Experts)>>8), byte(len(m.Experts)))
+	b = binary.AppendUvarint(b, uint64(len(m.Experts)))
 	for _, ranks := range m.Experts {
-		b = append(b, byte(len(ranks)>>8), byte(len(ranks)))
+		b = binary.AppendUvarint(b, uint64(len(ranks)))
 		for _, experts := range ranks {
-			b = append(b, byte(len(experts)))
-			for _, e := range experts {
-				b = append(b, byte(e>>8), byte(e))
-			}
+			b = appendExperts(b, experts)
 		}
 	}
 	return b
 }
 
+func appendExperts(b []byte, experts []uint16) []byte {
+	b = binary.AppendUvarint(b, uint64(len(experts)))
+	for _, e := range experts {
+		b = binary.AppendUvarint(b, uint64(e))
+	}
+	return b
+}
+
 // ParseMap reads what AppendBinary wrote; the version is not part of it.
 func ParseMap(b []byte) (*Map, error) {
 	r := reader{b: b}
-	m := &Map{Experts: make([][][]uint16, r.u16())}
+	m := &Map{Experts: make([][][]uint16, r.count())}
 	for set := range m.Experts {
-		m.Experts[set] = make([][]uint16, r.u16())
+		m.Experts[set] = make([][]uint16, r.count())
 		for rank := range m.Experts[set] {
-			experts := make([]uint16, r.u8())
-			for i := range experts {
-				experts[i] = uint16(r.u16())
-			}
-			m.Experts[set][rank] = experts
-		}
-		if r.short {
-			break
+			m.Experts[set][rank] = r.experts()
 		}
 	}
-	if r.short || len(r.b) > 0 {
+	if r.bad || len(r.b) > 0 {
 		return nil, fmt.Errorf("groupmap: a map of %d bytes cannot be read", len(b))
 	}
 	return m, nil
 }
 
-// reader reads big-endian numbers; short is set once the bytes do not suffice.
+// AppendDifference appends the rows of m that differ from base: set, rank and
+// experts of each.
+func (m *Map) AppendDifference(b []byte, base *Map) []byte {
+	for set, ranks := range m.Experts {
+		for r, experts := range ranks {
+			if slices.Equal(experts, base.Experts[set][r]) {
+				continue
+			}
+			b = binary.AppendUvarint(b, uint64(set))
+			b = binary.AppendUvarint(b, uint64(r))
+			b = appendExperts(b, experts)
+		}
+	}
+	return b
+}
+
+// ApplyDifference returns the map that AppendDifference described; the version
+// is that of base.
+func ApplyDifference(base *Map, b []byte) (*Map, error) {
+	m := base.Clone()
+	r := reader{b: b}
+	for len(r.b) > 0 {
+		set, rank := r.number(), r.number()
+		experts := r.experts()
+		if r.bad || set >= len(m.Experts) || rank >= len(m.Experts[set]) {
+			return nil, fmt.Errorf("groupmap: a difference of %d bytes cannot be read", len(b))
+		}
+		m.Experts[set][rank] = experts
+	}
+	return m, nil
+}
+
+// reader reads numbers; bad is set once they cannot be read.
 type reader struct {
-	b     []byte
-	short bool
+	b   []byte
+	bad bool
 }
 
-func (r *reader) u8() int {
-	if len(r.b) < 1 {
-		r.short = true
+func (r *reader) number() int {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > math.MaxUint16 {
+		r.bad = true
+		r.b = nil
 		return 0
 	}
-	v := r.b[0]
-	r.b = r.b[1:]
+	r.b = r.b[n:]
 	return int(v)
 }
 
-func (r *reader) u16() int { return r.u8()<<8 | r.u8() }
+// count reads how many items follow, each of which takes a byte at least.
+func (r *reader) count() int {
+	n := r.number()
+	if n > len(r.b) {
+		r.bad = true
+		return 0
+	}
+	return n
+}
+
+func (r *reader) experts() []uint16 {
+	out := make([]uint16, r.count())
+	for i := range out {
+		out[i] = uint16(r.number())
+	}
+	return out
+}
--- a/groupmap/plan.go
+++ b/groupmap/plan.go
@@ -66,6 +66,10 @@
 	places  int
 	spare   int
 	brought []int
+	// holders are the ranks of each expert.
+	holders [][]int
+	// saved is scratch space.
+	saved []float64
 	// next is the best move, as long as the set has not changed.
 	next *move
 }
@@ -99,10 +103,13 @@
 		places:  s.Places,
 		spare:   s.Spare,
 		brought: make([]int, s.Ranks),
+		holders: make([][]int, s.Experts),
+		saved:   make([]float64, s.Ranks),
 	}
-	for _, experts := range held {
+	for r, experts := range held {
 		for _, e := range experts {
 			b.count[e]++
+			b.holders[e] = append(b.holders[e], r)
 		}
 	}
 	for r, experts := range held {
@@ -167,13 +174,22 @@
 }
 
 // try keeps m if it gains more a copy than the best so far. The gain is that of
-// the potential, the mean of the fourth powers, which also rewards moves that
-// leave another rank as the busiest.
+// the potential, which also rewards moves that leave another rank as the
+// busiest.
 func (b *balance) try(best *move, m move) {
 	before := b.potential()
-	undo := b.change(m)
+	copy(b.saved, b.rank)
+	counts := [2]int{b.count[m.expert], 0}
+	if m.dropped >= 0 {
+		counts[1] = b.count[m.dropped]
+	}
+	b.shift(m)
 	m.gain = before - b.potential()
-	undo()
+	copy(b.rank, b.saved)
+	b.count[m.expert] = counts[0]
+	if m.dropped >= 0 {
+		b.count[m.dropped] = counts[1]
+	}
 	if m.worth() > best.worth() {
 		*best = m
 	}
@@ -192,24 +208,6 @@
 	return busiestWeight*most + (1-busiestWeight)*math.Sqrt(math.Sqrt(sum/float64(len(b.rank))))
 }
 
-// change adjusts the loads of the ranks for m and returns what undoes it. The
-// lists of experts stay.
-func (b *balance) change(m move) func() {
-	saved := slices.Clone(b.rank)
-	counts := [2]int{b.count[m.expert], 0}
-	if m.dropped >= 0 {
-		counts[1] = b.count[m.dropped]
-	}
-	b.shift(m)
-	return func() {
-		copy(b.rank, saved)
-		b.count[m.expert] = counts[0]
-		if m.dropped >= 0 {
-			b.count[m.dropped] = counts[1]
-		}
-	}
-}
-
 // shift moves the load of m.
 func (b *balance) shift(m move) {
 	if m.dropped >= 0 {
@@ -235,14 +233,12 @@
 	before := b.load[e] / float64(b.count[e])
 	b.count[e] += by
 	after := b.load[e] / float64(b.count[e])
-	for r, experts := range b.held {
+	for _, r := range b.holders[e] {
 		if r == removed {
 			b.rank[r] -= before
 			continue
 		}
-		if slices.Contains(experts, uint16(e)) {
-			b.rank[r] += after - before
-		}
+		b.rank[r] += after - before
 	}
 	if added >= 0 {
 		b.rank[added] += after
@@ -253,26 +249,33 @@
 func (b *balance) apply(m move) {
 	b.shift(m)
 	if m.dropped >= 0 {
-		b.held[m.to] = without(b.held[m.to], m.dropped)
+		b.take(m.dropped, m.to)
 	}
 	if m.source >= 0 {
-		b.held[m.source] = without(b.held[m.source], m.expert)
+		b.take(m.expert, m.source)
 	}
 	if m.swapped >= 0 {
-		b.held[m.source] = append(b.held[m.source], uint16(m.swapped))
-		b.brought[m.source]++
+		b.give(m.swapped, m.source)
 	}
-	b.held[m.to] = append(b.held[m.to], uint16(m.expert))
-	b.brought[m.to]++
+	b.give(m.expert, m.to)
 	b.next = nil
 }
 
-func without(experts []uint16, e int) []uint16 {
-	i := slices.Index(experts, uint16(e))
-	if i < 0 {
-		return experts
+// give adds an expert to a rank.
+func (b *balance) give(e, rank int) {
+	b.held[rank] = append(b.held[rank], uint16(e))
+	b.holders[e] = append(b.holders[e], rank)
+	b.brought[rank]++
+}
+
+// take removes an expert from a rank.
+func (b *balance) take(e, rank int) {
+	if i := slices.Index(b.held[rank], uint16(e)); i >= 0 {
+		b.held[rank] = slices.Delete(b.held[rank], i, i+1)
+	}
+	if i := slices.Index(b.holders[e], rank); i >= 0 {
+		b.holders[e] = slices.Delete(b.holders[e], i, i+1)
 	}
-	return slices.Delete(slices.Clone(experts), i, i+1)
 }
 
 func busiest(load []float64) int {
--- a/groupmap/plan_test.go
+++ b/groupmap/plan_test.go
@@ -67,6 +67,19 @@
 	assert.Assert(t, err != nil)
 }
 
+func TestDifferencesLeadToTheSameMap(t *testing.T) {
+	first := groupmap.First(small)
+	load := skewed(small, rand.New(rand.NewPCG(5, 6)))
+	next := groupmap.Plan(first, load, small, groupmap.Limits{Target: 1.05, Copies: 30, GainPerCopy: 0.001}).Map
+	difference := next.AppendDifference(nil, first)
+	back, err := groupmap.ApplyDifference(first, difference)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, next)
+	assert.Assert(t, len(difference) < len(next.AppendBinary(nil)))
+	_, err = groupmap.ApplyDifference(first, difference[:len(difference)-1])
+	assert.Assert(t, err != nil)
+}
+
 func BenchmarkPlan(b *testing.B) {
 	s := groupmap.Shape{Sets: 12, Ranks: 32, Experts: 128, Places: 5, Spare: 1}
 	load := skewed(s, rand.New(rand.NewPCG(1, 2)))
--- a/groupmap/switch.go
+++ b/groupmap/switch.go
@@ -36,6 +36,8 @@
 	Step    uint64
 	// Map is set for Prepare.
 	Map *Map
+	// Again says that the same order was sent before without effect.
+	Again bool
 }
 
 // RankState is what a rank last said of itself.
@@ -56,9 +58,9 @@
 }
 
 const (
-	// holdLead is how many passes ahead a hold is set: enough for all ranks to be
-	// armed before the group comes to it, as a rule.
-	holdLead = 5
+	// holdLead is how many passes ahead a hold is set. Ranks are armed within tens
+	// of milliseconds, about one pass; one more for the pass that begins meanwhile.
+	holdLead = 3
 	// holder is the rank that the hold is set at. It is one for all attempts, so
 	// that its single hold keeps attempts apart.
 	holder = 0
@@ -81,7 +83,7 @@
 		t.Resend = 60 * time.Millisecond
 	}
 	if t.ResendPrepare == 0 {
-		t.ResendPrepare = 700 * time.Millisecond
+		t.ResendPrepare = 350 * time.Millisecond
 	}
 	if t.GiveUp == 0 {
 		t.GiveUp = 6 * time.Second
@@ -416,5 +418,6 @@
 	}
 	*last = sentOrder{kind: o.Kind, version: o.Version, step: o.Step, at: now}
 	o.Epoch = s.epoch
+	o.Again = same
 	return append(out, o)
 }
--- a/groupmap/world_test.go
+++ b/groupmap/world_test.go
@@ -142,6 +142,15 @@
 	}
 }
 
+// tell sends how a rank stands to both agents, at once after an order.
+func (w *engineWorld) tell(rank int) {
+	for i := range w.leaders {
+		if w.rng.IntN(10) > 0 {
+			w.flights = append(w.flights, flight{at: w.tick + 1, state: w.ranks[rank].RankState, rank: rank, leader: i, read: w.tick})
+		}
+	}
+}
+
 // pass lets the group begin its next pass, unless it is held.
 func (w *engineWorld) pass() {
 	next := w.ranks[0].Step + 1
@@ -227,6 +236,7 @@
 	for _, f := range due {
 		if f.order != nil {
 			w.carryOut(f.order)
+			w.tell(f.order.Rank)
 			continue
 		}
 		l := w.leaders[f.leader]
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 	// statusPeriodPerPeer lengthens it where there are many peers to tell.
 	statusPeriodPerPeer = 5 * time.Millisecond
 	// countsPeriod is the time between two reads of the experts chosen.
-	countsPeriod = 350 * time.Millisecond
+	countsPeriod = 250 * time.Millisecond
 	// leadPeriod is the time between two looks at a switch under way.
 	leadPeriod = 30 * time.Millisecond
 	// readTimeout and orderTimeout bound one call to a server. Orders may go
@@ -58,6 +59,9 @@
 	// sequences stand for later reads.
 	reading sync.Mutex
 
+	// woken asks the leader to look at once.
+	woken chan struct{}
+
 	mu       sync.Mutex
 	sequence uint64
 	report   Report
@@ -67,12 +71,14 @@
 	// counted is what the own rank had chosen at the last look.
 	counted Counts
 	held    Held
+	// maps are those that orders brought lately.
+	maps map[mapKey]*groupmap.Map
 }
 
 // New returns an agent that does not run yet. Its Handle takes the datagrams of
 // the node that Run is given.
 func New(o Options) *Agent {
-	a := &Agent{options: o, engine: o.Dial(o.Server), log: o.Log}
+	a := &Agent{options: o, engine: o.Dial(o.Server), log: o.Log, maps: make(map[mapKey]*groupmap.Map), woken: make(chan struct{}, 1)}
 	a.lead.agent = a
 	a.meters = newMeters(a)
 	return a
@@ -85,11 +91,27 @@
 	go node.Run(ctx)
 	a.log.Info().Str("event", "started").Str("server", a.options.Server).Msg("")
 	go every(ctx, countsPeriod, a.count)
-	go every(ctx, leadPeriod, a.lead.tick)
+	go a.leadLoop(ctx)
 	every(ctx, reportPeriod, func(ctx context.Context) { a.observe(ctx, false) })
 	a.log.Info().Str("event", "stopped").Msg("")
 }
 
+// leadLoop looks at the group at each period, and at once when a rank has taken
+// a step of a switch.
+func (a *Agent) leadLoop(ctx context.Context) {
+	ticker := time.NewTicker(leadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.woken:
+		}
+		a.lead.tick(ctx)
+	}
+}
+
 // every calls f at each period until ctx ends.
 func every(ctx context.Context, period time.Duration, f func(context.Context)) {
 	ticker := time.NewTicker(period)
@@ -119,12 +141,13 @@
 	if changed {
 		a.logChange(up, report, err)
 	}
+	// A leader waits for each step of a switch.
+	switchStep := up && !sameSwitch(report.State, a.report.State)
 	if up {
 		a.report = report
 		a.lead.observe(report.Group, "", a.options.Server, report.State, a.sequence, now)
 	}
 	a.up = up
-	switchStep := up && (report.State.Held != 0 || report.State.ArmedVersion != 0)
 	due := now.Sub(a.told) >= a.statusPeriod()
 	if !changed && !tell && !due && !switchStep {
 		a.mu.Unlock()
@@ -137,11 +160,28 @@
 	a.mu.Unlock()
 	packet := &meshpb.Packet{Status: status}
 	a.mesh.Send(packet, group...)
+	if switchStep {
+		a.wake()
+	}
 	if changed || due {
 		a.mesh.Send(packet, a.mesh.Peers(mesh.Gateway)...)
 	}
 }
 
+// sameSwitch says that two states of a rank are at the same step of a switch.
+func sameSwitch(a, b groupmap.RankState) bool {
+	a.Step, b.Step = 0, 0
+	return a == b
+}
+
+// wake lets the leader look at once.
+func (a *Agent) wake() {
+	select {
+	case a.woken <- struct{}{}:
+	default:
+	}
+}
+
 // statusPeriod is the time between two statuses. The lock is held.
 func (a *Agent) statusPeriod() time.Duration {
 	return max(statusPeriod, time.Duration(a.mesh.Count(mesh.Gateway))*statusPeriodPerPeer)
@@ -201,6 +241,9 @@
 	if s.Group == "" || s.Group != a.report.Group.Name {
 		return
 	}
+	if a.report.Group.Rank == holderRank && (s.Prepared != 0 || s.ArmedVersion != 0) {
+		a.wake()
+	}
 	a.lead.meet(from, int(s.Rank))
 	group := a.report.Group
 	group.Rank, group.Epoch = int(s.Rank), s.Epoch
@@ -215,18 +258,69 @@
 	order := groupmap.Order{
 		Rank: int(o.Rank), Kind: groupmap.Kind(o.Kind), Epoch: o.Epoch, Version: o.Version, Step: o.Step,
 	}
-	if len(o.Map) > 0 {
-		m, err := groupmap.ParseMap(o.Map)
+	if groupmap.Kind(o.Kind) == groupmap.Prepare {
+		m, err := a.mapOf(o)
 		if err != nil {
-			a.log.Error().Str("event", "order_unreadable").Str("cause", err.Error()).Msg("")
+			a.log.Warn().Str("event", "order_unreadable").Uint64("version", o.Version).Str("cause", err.Error()).Msg("")
 			return
 		}
-		m.Version = o.Version
 		order.Map = m
 	}
 	go a.carryOut(context.Background(), a.engine, order)
 }
 
+// errNoBase says that the map that an order starts from is not known here; the
+// leader sends all of the map when nothing comes of its order.
+var errNoBase = errors.New("rankagent: the map that an order starts from is not known")
+
+// mapOf reads the map of an order and keeps it for later differences.
+func (a *Agent) mapOf(o *meshpb.RankOrder) (*groupmap.Map, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	base := a.maps[mapKey{o.Epoch, o.Base}]
+	if o.Base == 0 {
+		base = a.firstMap()
+	}
+	var m *groupmap.Map
+	var err error
+	switch {
+	case len(o.Map) > 0:
+		m, err = groupmap.ParseMap(o.Map)
+	case base == nil:
+		err = errNoBase
+	default:
+		m, err = groupmap.ApplyDifference(base, o.Difference)
+	}
+	if err != nil {
+		return nil, err
+	}
+	m.Version = o.Version
+	if len(a.maps) >= keptMaps {
+		clear(a.maps)
+		if base != nil {
+			a.maps[mapKey{o.Epoch, o.Base}] = base
+		}
+	}
+	a.maps[mapKey{o.Epoch, o.Version}] = m
+	return m, nil
+}
+
+// firstMap is the map that the group starts with; nil while its dimensions are
+// not known. The lock is held.
+func (a *Agent) firstMap() *groupmap.Map {
+	sets := len(a.held.Experts)
+	if sets == 0 || len(a.counted.Chosen)%sets != 0 {
+		return nil
+	}
+	return groupmap.First(groupmap.Shape{Sets: sets, Ranks: a.report.Group.Size, Experts: len(a.counted.Chosen) / sets})
+}
+
+// mapKey names a map of one life of the group.
+type mapKey struct{ epoch, version uint64 }
+
+// keptMaps is how many maps are kept that orders may start from.
+const keptMaps = 4
+
 // carryOut gives one order to a server and looks how it stands afterwards.
 func (a *Agent) carryOut(ctx context.Context, engine Engine, o groupmap.Order) {
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -23,16 +23,38 @@
 	// popularityFresh is how old the news of a rank's choices may be.
 	popularityFresh = 1200 * time.Millisecond
 	// planPause is the time between two plans without a switch.
-	planPause = 250 * time.Millisecond
+	planPause = 200 * time.Millisecond
 	// settle is the time after a switch in which nothing is planned.
-	settle = 300 * time.Millisecond
+	settle = 100 * time.Millisecond
+	// burstBytes is how many bytes of maps go out in one look, so that they do
+	// not overrun the link of a small instance.
+	burstBytes = 24 << 10
 	// leastGain is by how much a plan must lower the busiest rank over the mean.
 	leastGain = 0.08
 )
 
-// planLimits bound one plan: few copies at a time are ready sooner, and what
-// they cost must come back before popularity changes again.
-var planLimits = groupmap.Limits{Target: 1.08, Copies: 40, GainPerCopy: 0.012}
+const (
+	// planTarget is the load of the busiest rank over the mean that is good enough.
+	planTarget = 1.06
+	// copyTime is how long a rank may copy for one plan: popularity changes
+	// within seconds, and passes take longer meanwhile.
+	copyTime = 200 * time.Millisecond
+	// gainPerGigabyte is the least gain that is worth the copy of a gigabyte in a
+	// group of gainRanks, which serves more requests the larger it is.
+	gainPerGigabyte = 0.02
+	gainRanks       = 8
+)
+
+// planLimits bounds the plans of a group: what they cost must come back before
+// popularity changes again.
+func planLimits(e ingress.Experts, ranks int) groupmap.Limits {
+	limits := groupmap.Limits{Target: planTarget, Copies: ranks, GainPerCopy: gainPerGigabyte * e.MegabytesEach / 1000 * gainRanks / float64(max(1, ranks))}
+	if e.MegabytesEach > 0 && e.LinkMbps > 0 {
+		each := time.Duration(e.MegabytesEach * 8 / e.LinkMbps * float64(time.Second))
+		limits.Copies = ranks * max(1, int(copyTime/each))
+	}
+	return limits
+}
 
 // leader keeps an agent's view of its group and leads it when it is its turn.
 // The agent's lock guards it.
@@ -47,10 +69,13 @@
 	machine    *groupmap.Switch
 	popularity popularity
 	shape      groupmap.Shape
-	planned    time.Time
-	switched   time.Time
-	began      time.Time
-	reading    bool
+	limits     groupmap.Limits
+	// inUse is the map that the group uses, as far as it is known here.
+	inUse    *groupmap.Map
+	planned  time.Time
+	switched time.Time
+	began    time.Time
+	reading  bool
 }
 
 // observe takes the state of a rank in; from is empty for the own one.
@@ -133,38 +158,76 @@
 	l.plan(ctx, now)
 	floor := uint64(a.options.Uptime().Milliseconds())
 	orders := l.machine.Tick(now, floor)
-	sends := make([]func(), 0, len(orders))
+	sends := make([]func() int, 0, len(orders))
 	for _, o := range orders {
 		sends = append(sends, l.send(ctx, o, now))
 	}
 	silent := l.silentRanks(now)
 	a.mu.Unlock()
-	for _, send := range sends {
-		send()
-	}
+	sendPaced(ctx, sends)
 	for rank, server := range silent {
 		go l.readFar(ctx, rank, server)
 	}
 }
 
-// send returns what carries an order to its rank.
-func (l *leader) send(ctx context.Context, o groupmap.Order, now time.Time) func() {
+// sendPaced sends orders, with pauses in which the link can take their bytes.
+func sendPaced(ctx context.Context, sends []func() int) {
+	bytes := 0
+	for _, send := range sends {
+		bytes += send()
+		if bytes < burstBytes {
+			continue
+		}
+		bytes = 0
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(leadPeriod):
+		}
+	}
+}
+
+// send returns what carries an order to its rank and returns the bytes of the
+// order that go over the link.
+func (l *leader) send(ctx context.Context, o groupmap.Order, now time.Time) func() int {
 	a := l.agent
 	if o.Rank == l.group.Rank {
-		return func() { go a.carryOut(ctx, a.engine, o) }
+		return func() int {
+			go a.carryOut(ctx, a.engine, o)
+			return 0
+		}
 	}
 	peer, known := l.peers[o.Rank]
 	if !known || now.Sub(l.heard[o.Rank]) >= silentAfter {
 		engine := a.options.Dial(l.servers[o.Rank])
-		return func() { go a.carryOut(ctx, engine, o) }
+		return func() int {
+			go a.carryOut(ctx, engine, o)
+			return 0
+		}
 	}
 	message := &meshpb.RankOrder{
 		Kind: uint32(o.Kind), Group: l.group.Name, Epoch: o.Epoch, Version: o.Version, Step: o.Step, Rank: uint32(o.Rank),
 	}
 	if o.Map != nil {
-		message.Map = o.Map.AppendBinary(nil)
+		l.describe(message, o)
+	}
+	return func() int {
+		a.mesh.Send(&meshpb.Packet{Order: message}, peer)
+		return len(message.Map) + len(message.Difference)
+	}
+}
+
+// describe puts the map of an order into a message: the difference from the map
+// in use, or all of it when that had no effect.
+func (l *leader) describe(message *meshpb.RankOrder, o groupmap.Order) {
+	whole := o.Map.AppendBinary(nil)
+	if l.inUse != nil && !o.Again {
+		message.Difference = o.Map.AppendDifference(nil, l.inUse)
+		message.Base = l.inUse.Version
+	}
+	if len(message.Difference) == 0 || len(message.Difference) > len(whole) {
+		message.Difference, message.Map = nil, whole
 	}
-	return func() { a.mesh.Send(&meshpb.Packet{Order: message}, peer) }
 }
 
 // silentRanks returns the servers whose agents are silent and that are due to
@@ -223,7 +286,8 @@
 		return
 	}
 	l.machine.Use(current)
-	out := groupmap.Plan(current, load, l.shape, planLimits)
+	l.inUse = current
+	out := groupmap.Plan(current, load, l.shape, l.limits)
 	l.agent.meters.skew.Store(int64(out.Before * 1000))
 	if out.Before-out.After < leastGain {
 		return
@@ -256,13 +320,14 @@
 	l.reading = true
 	group := l.group
 	go func() {
-		shape := l.agent.shapeOf(ctx, group)
+		experts := l.agent.expertsOf(ctx)
 		l.agent.mu.Lock()
 		defer l.agent.mu.Unlock()
 		l.reading = false
 		l.planned = time.Now().Add(shapeRetry)
-		if shape.Sets > 0 {
-			l.shape, l.planned = shape, time.Time{}
+		if experts.Sets > 0 {
+			l.shape, l.limits = shape(experts, group.Size), planLimits(experts, group.Size)
+			l.planned = time.Time{}
 		}
 	}()
 }
@@ -272,22 +337,23 @@
 	shapeRetry   = time.Second
 )
 
-// shapeOf reads the dimensions from the configuration; zero if it cannot.
-func (a *Agent) shapeOf(ctx context.Context, g backends.Group) groupmap.Shape {
+// expertsOf reads the dimensions of maps from the configuration; zero if it
+// cannot.
+func (a *Agent) expertsOf(ctx context.Context) ingress.Experts {
 	ctx, cancel := context.WithTimeout(ctx, shapeTimeout)
 	defer cancel()
 	config, err := a.options.Config(ctx)
 	if err != nil || config == nil {
-		a.log.Warn().Str("event", "config_unread").Msg("")
-		return groupmap.Shape{}
+		a.log.Warn().Str("event", "config_unread").Bool("published", config != nil).Msg("")
+		return ingress.Experts{}
 	}
 	for _, s := range config.Services {
 		if s.Name == a.options.Service && s.Engine != nil {
-			return shape(s.Engine.Experts, g.Size)
+			return s.Engine.Experts
 		}
 	}
 	a.log.Warn().Str("event", "service_unknown").Str("service", a.options.Service).Msg("")
-	return groupmap.Shape{}
+	return ingress.Experts{}
 }
 
 func shape(e ingress.Experts, ranks int) groupmap.Shape {
--- a/rankagent/popularity.go
+++ b/rankagent/popularity.go
@@ -9,7 +9,7 @@
 
 // popularityMemory is the time in which the weight of a choice falls to 1/e.
 // Popularity changes within seconds.
-const popularityMemory = 900 * time.Millisecond
+const popularityMemory = 600 * time.Millisecond
 
 // popularity is how often the requests of a group chose each expert lately. It
 // also knows the experts that each rank holds. It is not safe for concurrent use.
