Weigh copies against load, and tell popularity sooner

Change: the least gain of a copy falls with the square of the share of slots in use; counts go each 0.18 s in one byte an expert; plans each 0.15 s.

--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 	// statusPeriodPerPeer lengthens it where there are many peers to tell.
 	statusPeriodPerPeer = 5 * time.Millisecond
 	// countsPeriod is the time between two reads of the experts chosen.
-	countsPeriod = 250 * time.Millisecond
+	countsPeriod = 180 * time.Millisecond
 	// leadPeriod is the time between two looks at a switch under way.
 	leadPeriod = 30 * time.Millisecond
 	// readTimeout and orderTimeout bound one call to a server. Orders may go
@@ -146,6 +147,7 @@
 	if up {
 		a.report = report
 		a.lead.observe(report.Group, "", a.options.Server, report.State, a.sequence, now)
+		a.lead.busy[report.Group.Rank] = report.Running + report.Waiting
 	}
 	a.up = up
 	due := now.Sub(a.told) >= a.statusPeriod()
@@ -245,6 +247,7 @@
 		a.wake()
 	}
 	a.lead.meet(from, int(s.Rank))
+	a.lead.busy[int(s.Rank)] = int(s.Running + s.Waiting)
 	group := a.report.Group
 	group.Rank, group.Epoch = int(s.Rank), s.Epoch
 	a.lead.observe(group, from.ID, s.Server, groupmap.RankState{
@@ -363,9 +366,10 @@
 	a.mu.Lock()
 	before := a.counted
 	a.counted, a.held = counts, held
+	chosen, unit := inUnits(chosenSince(before, counts))
 	message := &meshpb.Popularity{
 		Group: report.Group.Name, Epoch: counts.Epoch, Rank: uint32(report.Group.Rank),
-		Counts: chosenSince(before, counts), Map: held.Version, Held: packExperts(held.Experts), Sets: uint32(len(held.Experts)),
+		Counts: chosen, Unit: unit, Map: held.Version, Held: packExperts(held.Experts), Sets: uint32(len(held.Experts)),
 	}
 	to, own := a.lead.holderAgent()
 	a.mu.Unlock()
@@ -390,6 +394,19 @@
 	return out
 }
 
+// maxUnits is the largest count that takes one byte in a message.
+const maxUnits = 127
+
+// inUnits scales counts down so that each takes one byte in a message.
+func inUnits(counts []uint32) (scaled []uint32, unit uint32) {
+	unit = max(1, (slices.Max(append(counts, 0))+maxUnits-1)/maxUnits)
+	scaled = make([]uint32, len(counts))
+	for i, c := range counts {
+		scaled[i] = (c + unit/2) / unit
+	}
+	return scaled, unit
+}
+
 // packExperts writes the experts of each set after their number.
 func packExperts(sets [][]uint16) []uint32 {
 	var out []uint32
@@ -427,6 +444,6 @@
 		return
 	}
 	a.lead.popularity.add(share{
-		epoch: p.Epoch, rank: int(p.Rank), counts: p.Counts, inUse: p.Map, held: unpackExperts(p.Held, int(p.Sets)),
+		epoch: p.Epoch, rank: int(p.Rank), counts: p.Counts, unit: p.Unit, inUse: p.Map, held: unpackExperts(p.Held, int(p.Sets)),
 	}, a.report.Group.Size, time.Now())
 }
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"bluebellwind.example/backends"
@@ -23,9 +24,9 @@
 	// popularityFresh is how old the news of a rank's choices may be.
 	popularityFresh = 1200 * time.Millisecond
 	// planPause is the time between two plans without a switch.
-	planPause = 200 * time.Millisecond
+	planPause = 150 * time.Millisecond
 	// settle is the time after a switch in which nothing is planned.
-	settle = 100 * time.Millisecond
+	settle = 50 * time.Millisecond
 	// burstBytes is how many bytes of maps go out in one look, so that they do
 	// not overrun the link of a small instance.
 	burstBytes = 24 << 10
@@ -41,14 +42,22 @@
 	copyTime = 200 * time.Millisecond
 	// gainPerGigabyte is the least gain that is worth the copy of a gigabyte in a
 	// group of gainRanks, which serves more requests the larger it is.
-	gainPerGigabyte = 0.02
+	gainPerGigabyte = 0.03
 	gainRanks       = 8
+	// usualBusy is the share of slots in use at which that holds. With fewer, the
+	// busiest rank holds up less, and the gain must be greater by up to maxReserve;
+	// with more, it may be less.
+	usualBusy  = 0.6
+	maxReserve = 4.0
+	minReserve = 0.4
 )
 
-// planLimits bounds the plans of a group: what they cost must come back before
-// popularity changes again.
-func planLimits(e ingress.Experts, ranks int) groupmap.Limits {
-	limits := groupmap.Limits{Target: planTarget, Copies: ranks, GainPerCopy: gainPerGigabyte * e.MegabytesEach / 1000 * gainRanks / float64(max(1, ranks))}
+// planLimits bounds a plan of a group whose slots are in use to the share busy:
+// what it costs must come back before popularity changes again.
+func planLimits(e ingress.Experts, ranks int, busy float64) groupmap.Limits {
+	reserve := min(maxReserve, max(minReserve, math.Pow(usualBusy/max(busy, 0.01), 2)))
+	perCopy := gainPerGigabyte * e.MegabytesEach / 1000 * gainRanks / float64(max(1, ranks))
+	limits := groupmap.Limits{Target: planTarget, Copies: ranks, GainPerCopy: reserve * perCopy}
 	if e.MegabytesEach > 0 && e.LinkMbps > 0 {
 		each := time.Duration(e.MegabytesEach * 8 / e.LinkMbps * float64(time.Second))
 		limits.Copies = ranks * max(1, int(copyTime/each))
@@ -69,7 +78,9 @@
 	machine    *groupmap.Switch
 	popularity popularity
 	shape      groupmap.Shape
-	limits     groupmap.Limits
+	engine     *ingress.Engine
+	// busy is how many requests run and wait at each rank.
+	busy map[int]int
 	// inUse is the map that the group uses, as far as it is known here.
 	inUse    *groupmap.Map
 	planned  time.Time
@@ -102,6 +113,7 @@
 	l.heard = make(map[int]time.Time)
 	l.sequences = make(map[int]uint64)
 	l.far = make(map[int]time.Time)
+	l.busy = make(map[int]int)
 	l.machine = groupmap.NewSwitch(g.Size, g.Rank == holderRank, groupmap.SwitchTiming{})
 }
 
@@ -287,7 +299,7 @@
 	}
 	l.machine.Use(current)
 	l.inUse = current
-	out := groupmap.Plan(current, load, l.shape, l.limits)
+	out := groupmap.Plan(current, load, l.shape, planLimits(l.engine.Experts, l.group.Size, l.busyShare()))
 	l.agent.meters.skew.Store(int64(out.Before * 1000))
 	if out.Before-out.After < leastGain {
 		return
@@ -320,13 +332,13 @@
 	l.reading = true
 	group := l.group
 	go func() {
-		experts := l.agent.expertsOf(ctx)
+		engine := l.agent.engineOf(ctx)
 		l.agent.mu.Lock()
 		defer l.agent.mu.Unlock()
 		l.reading = false
 		l.planned = time.Now().Add(shapeRetry)
-		if experts.Sets > 0 {
-			l.shape, l.limits = shape(experts, group.Size), planLimits(experts, group.Size)
+		if engine != nil {
+			l.engine, l.shape = engine, shape(engine.Experts, group.Size)
 			l.planned = time.Time{}
 		}
 	}()
@@ -337,23 +349,32 @@
 	shapeRetry   = time.Second
 )
 
-// expertsOf reads the dimensions of maps from the configuration; zero if it
-// cannot.
-func (a *Agent) expertsOf(ctx context.Context) ingress.Experts {
+// engineOf reads what the configuration says of the own service's engines; nil
+// if it cannot.
+func (a *Agent) engineOf(ctx context.Context) *ingress.Engine {
 	ctx, cancel := context.WithTimeout(ctx, shapeTimeout)
 	defer cancel()
 	config, err := a.options.Config(ctx)
 	if err != nil || config == nil {
 		a.log.Warn().Str("event", "config_unread").Bool("published", config != nil).Msg("")
-		return ingress.Experts{}
+		return nil
 	}
-	for _, s := range config.Services {
-		if s.Name == a.options.Service && s.Engine != nil {
-			return s.Engine.Experts
+	for i := range config.Services {
+		if s := &config.Services[i]; s.Name == a.options.Service && s.Engine != nil {
+			return s.Engine
 		}
 	}
 	a.log.Warn().Str("event", "service_unknown").Str("service", a.options.Service).Msg("")
-	return ingress.Experts{}
+	return nil
+}
+
+// busyShare is the share of the group's slots that are in use or waited for.
+func (l *leader) busyShare() float64 {
+	busy := 0
+	for _, n := range l.busy {
+		busy += n
+	}
+	return float64(busy) / float64(max(1, l.engine.Slots*l.group.Size))
 }
 
 func shape(e ingress.Experts, ranks int) groupmap.Shape {
--- a/rankagent/popularity.go
+++ b/rankagent/popularity.go
@@ -9,7 +9,7 @@
 
 // popularityMemory is the time in which the weight of a choice falls to 1/e.
 // Popularity changes within seconds.
-const popularityMemory = 600 * time.Millisecond
+const popularityMemory = 450 * time.Millisecond
 
 // popularity is how often the requests of a group chose each expert lately. It
 // also knows the experts that each rank holds. It is not safe for concurrent use.
@@ -26,9 +26,11 @@
 
 // share is what one rank adds.
 type share struct {
-	epoch  uint64
-	rank   int
+	epoch uint64
+	rank  int
+	// counts of choices in units of unit.
 	counts []uint32
+	unit   uint32
 	// inUse is the version of the map that held is of.
 	inUse uint64
 	held  [][]uint16
@@ -53,7 +55,7 @@
 	}
 	p.fade(now)
 	for i, c := range s.counts {
-		p.load[i] += float64(c)
+		p.load[i] += float64(c) * float64(s.unit)
 	}
 	p.heard[s.rank] = now
 	p.held[s.rank] = s.held
