Use fewer slots while passes are longer than the pause that is on time

Cause: with half of the ranks cut off, or one rank slow, all slots of the rest filled, passes took more than the 120 ms pause that is on time, and every stream of the group was late.

Test: TestLongPassesLeaveSlotsUnused.

--- a/backends/pick.go
+++ b/backends/pick.go
@@ -42,8 +42,12 @@
 	// Objective is the time in which the answer should begin; Remaining what is
 	// left until the caller's deadline, zero if it set none.
 	Objective, Remaining time.Duration
-	// Returned says that the caller was refused before.
-	Returned bool
+	// Pause is the longest pause between two events that is on time; zero if it
+	// does not matter.
+	Pause time.Duration
+	// Returned says that the caller was refused before, Resumed that a server has
+	// begun the request.
+	Returned, Resumed bool
 	// Processes is how many gateways send to the same servers.
 	Processes int
 	// AvoidGroups are groups that the request has already failed in.
@@ -136,15 +140,36 @@
 		}
 	}
 	closed := d.closedGroups(now)
+	running := d.meanRunning()
 	for id, e := range d.servers {
 		if e.Service != n.Name {
 			continue
 		}
-		v.Candidates = append(v.Candidates, d.candidate(id, e, closed, now))
+		c := d.candidate(id, e, closed, now)
+		if status, ok := d.statuses[e.Address]; ok && n.Service != nil && n.Service.Engine != nil {
+			c.Load.Slots = usefulSlots(c.Load.Slots, running[e.Group.Name], status.Pass, n.Pause)
+			c.Load.StepTime = status.Pass / time.Duration(max(1, n.Service.Engine.Stride))
+		}
+		v.Candidates = append(v.Candidates, c)
 	}
 	return v
 }
 
+// meanRunning returns how many requests a rank of each group runs. The lock is
+// held.
+func (d *Directory) meanRunning() map[string]float64 {
+	sum := make(map[string]float64)
+	ranks := make(map[string]float64)
+	for _, s := range d.statuses {
+		sum[s.Group.Name] += float64(s.Running)
+		ranks[s.Group.Name]++
+	}
+	for name := range sum {
+		sum[name] /= ranks[name]
+	}
+	return sum
+}
+
 func (d *Directory) candidate(id string, e *entry, closed map[string]bool, now time.Time) routing.Candidate {
 	status, reported := d.statuses[e.Address]
 	c := routing.Candidate{
--- a/backends/server.go
+++ b/backends/server.go
@@ -31,6 +31,8 @@
 	Waiting int
 	// Step is the last pass that the group began.
 	Step uint64
+	// Pass is how long a pass of the group takes lately; zero if not known.
+	Pass time.Duration
 	// Pace is the time of a pass against the usual; over 1 is slow.
 	Pace float64
 	// At is when the status arrived.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,7 +82,7 @@
 			Service: x.service, Name: x.name, PromptTokens: x.call.PromptTokens,
 			Tried: x.tried, AvoidGroups: x.avoidGroups,
 			Objective: x.route.Objective, Remaining: time.Until(x.deadline),
-			Returned: x.returned || x.sends > 0, Processes: x.g.processes(),
+			Pause: x.route.PauseObjective, Returned: x.returned, Resumed: x.sends > 0, Processes: x.g.processes(),
 		}, time.Now())
 		if err != nil {
 			x.giveUp(verdict.From(err))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -150,6 +150,7 @@
 			Running: int(s.Running),
 			Waiting: int(s.Waiting),
 			Step:    s.Step,
+			Pass:    time.Duration(s.PassUs) * time.Microsecond,
 			Pace:    float64(s.PaceMilli) / 1000,
 			At:      time.Now(),
 		})
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -67,6 +67,7 @@
 	sequence uint64
 	report   Report
 	up       bool
+	passes   passMeter
 	told     time.Time
 	lead     leader
 	// counted is what the own rank had chosen at the last look.
@@ -145,6 +146,7 @@
 	// A leader waits for each step of a switch.
 	switchStep := up && !sameSwitch(report.State, a.report.State)
 	if up {
+		a.passes.observe(report, now)
 		a.report = report
 		a.lead.observe(report.Group, "", a.options.Server, report.State, a.sequence, now)
 		a.lead.busy[report.Group.Rank] = report.Running + report.Waiting
@@ -218,6 +220,7 @@
 		Waiting:      uint32(r.Waiting),
 		PaceMilli:    uint32(r.Pace * 1000),
 		Sequence:     a.sequence,
+		PassUs:       uint32(a.passes.mean.Microseconds()),
 	}
 }
 
