--- a/backends/directory.go
+++ b/backends/directory.go
@@ -10,8 +10,16 @@
 	"bluebellwind.example/routing"
 )
 
-// statusLifetime is how long the status of a server counts after it arrived.
-const statusLifetime = 1500 * time.Millisecond
+const (
+	// statusLifetime is how long the status of a server counts after it arrived.
+	statusLifetime = 1500 * time.Millisecond
+	// lostRankRetry is how long the group of a rank that takes no connection is
+	// left out, unless its ranks say before that it opened in a new epoch.
+	lostRankRetry = 700 * time.Millisecond
+	// stallAfter is how long a group that has work makes no pass until it counts
+	// as stalled.
+	stallAfter = 450 * time.Millisecond
+)
 
 // Directory is the set of backend servers. It is safe for concurrent use.
 type Directory struct {
@@ -163,6 +171,10 @@
 	if !s.Up && s.Group.Name == "" {
 		s.Group = old.Group // A dead server cannot say where it belonged.
 	}
+	s.stepped = s.At
+	if known && s.Running > 0 && s.Step == old.Step && s.Group == old.Group {
+		s.stepped = old.stepped
+	}
 	d.statuses[address] = s
 	d.touchAddress(address)
 	return !known || old.Open != s.Open || old.Up != s.Up
@@ -173,10 +185,13 @@
 func (d *Directory) GroupBroken(id string, retry time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.servers[id]
-	if e == nil {
-		return
+	if e := d.servers[id]; e != nil {
+		d.breakGroup(e, retry)
 	}
+}
+
+// breakGroup leaves the group of a rank out until retry. The lock is held.
+func (d *Directory) breakGroup(e *entry, retry time.Time) {
 	if e.Group.Name == "" {
 		return
 	}
@@ -191,13 +206,18 @@
 }
 
 // Failed notes a failed request to a server. hard says that it did not take the
-// connection.
+// connection; the group of such a rank is left out as well, for it stalls.
 func (d *Directory) Failed(id string, hard bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e := d.servers[id]; e != nil {
-		e.health.fail(now, hard)
-		d.touch(e.Service)
+	e := d.servers[id]
+	if e == nil {
+		return
+	}
+	e.health.fail(now, hard)
+	d.touch(e.Service)
+	if hard {
+		d.breakGroup(e, now.Add(lostRankRetry))
 	}
 }
 
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -17,6 +17,9 @@
 	// zoneDistance is the backlog that a server of another zone is taken to
 	// have in addition, so that the own zone is preferred among equals.
 	zoneDistance = 2 * time.Millisecond
+	// stallDistance is the backlog that a stalled group is taken to have in
+	// addition: it is chosen only if there is no other.
+	stallDistance = 30 * time.Second
 	// plainCall is the time that a call of a plain service takes, about.
 	plainCall = 40 * time.Millisecond
 	// groupReturn and its spread are when a caller comes back that was refused
@@ -141,6 +144,7 @@
 	}
 	closed := d.closedGroups(now)
 	running := d.meanRunning()
+	stalled := d.stalledGroups()
 	for id, e := range d.servers {
 		if e.Service != n.Name {
 			continue
@@ -148,6 +152,9 @@
 		c := d.candidate(id, e, closed, now)
 		if status, ok := d.statuses[e.Address]; ok && n.Service != nil && n.Service.Engine != nil {
 			c.Load.Slots = usefulSlots(c.Load.Slots, running[e.Group.Name], status.Pass, n.Pause)
+			if stalled[e.Group.Name] {
+				c.Distance += stallDistance
+			}
 			c.Load.StepTime = status.Pass / time.Duration(max(1, n.Service.Engine.Stride))
 		}
 		v.Candidates = append(v.Candidates, c)
@@ -155,6 +162,18 @@
 	return v
 }
 
+// stalledGroups returns the groups that have work and make no passes: one of
+// their ranks is cut off, dead or very slow. The lock is held.
+func (d *Directory) stalledGroups() map[string]bool {
+	stalled := make(map[string]bool)
+	for _, s := range d.statuses {
+		if s.At.Sub(s.stepped) >= stallAfter {
+			stalled[s.Group.Name] = true
+		}
+	}
+	return stalled
+}
+
 // meanRunning returns how many requests a rank of each group runs. The lock is
 // held.
 func (d *Directory) meanRunning() map[string]float64 {
--- a/backends/server.go
+++ b/backends/server.go
@@ -37,6 +37,9 @@
 	Pace float64
 	// At is when the status arrived.
 	At time.Time
+
+	// stepped is when a pass was seen last, or the rank was idle.
+	stepped time.Time
 }
 
 // Group names a group of ranks in one life.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -78,12 +78,7 @@
 // run serves the request.
 func (x *exchange) run() {
 	for {
-		choice, err := x.g.directory.Pick(backends.Need{
-			Service: x.service, Name: x.name, PromptTokens: x.call.PromptTokens,
-			Tried: x.tried, AvoidGroups: x.avoidGroups,
-			Objective: x.route.Objective, Remaining: time.Until(x.deadline),
-			Pause: x.route.PauseObjective, Returned: x.returned, Resumed: x.sends > 0, Processes: x.g.processes(),
-		}, time.Now())
+		choice, err := x.pick()
 		if err != nil {
 			x.giveUp(verdict.From(err))
 			return
@@ -103,6 +98,9 @@
 			return
 		}
 		x.tried = append(x.tried, choice.ID)
+		if choice.Group.Name != "" {
+			x.avoidGroups = append(x.avoidGroups, choice.Group.Name)
+		}
 		if why := x.mayNotRetry(result); why != "" {
 			x.g.logTry(x, choice, "no_retry", why)
 			x.giveUp(verdict.Refuse(verdict.Overloaded, x.verdict(), why).After(x.g.refusalRetry()))
@@ -112,6 +110,22 @@
 	}
 }
 
+// pick chooses a server, in another group than those that failed if there is one.
+func (x *exchange) pick() (*backends.Choice, error) {
+	need := backends.Need{
+		Service: x.service, Name: x.name, PromptTokens: x.call.PromptTokens,
+		Tried: x.tried, AvoidGroups: x.avoidGroups,
+		Objective: x.route.Objective, Remaining: time.Until(x.deadline),
+		Pause: x.route.PauseObjective, Returned: x.returned, Resumed: x.sends > 0, Processes: x.g.processes(),
+	}
+	choice, err := x.g.directory.Pick(need, time.Now())
+	if err == nil || len(x.avoidGroups) == 0 {
+		return choice, err
+	}
+	need.AvoidGroups = nil
+	return x.g.directory.Pick(need, time.Now())
+}
+
 // verdict is what can be promised of the request now.
 func (x *exchange) verdict() verdict.Verdict {
 	if x.mayHaveRun {
@@ -265,7 +279,6 @@
 	case notes.Faulty != "":
 		x.cause += ", its group is broken at " + notes.Faulty
 		x.g.directory.GroupBroken(choice.ID, now.Add(groupRetry))
-		x.avoidGroups = append(x.avoidGroups, choice.Group.Name)
 	case answer.Status == http.StatusMisdirectedRequest:
 		x.g.directory.Failed(choice.ID, true, now)
 	default:
@@ -280,6 +293,9 @@
 		x.g.logEnd(x, "broken_off", e.Reason)
 		panic(http.ErrAbortHandler)
 	}
+	if e.Code == verdict.Unavailable && x.g.options.Isolated() {
+		e = e.After(x.g.staleRetry()) // Another gateway may reach the servers.
+	}
 	if x.mayHaveRun {
 		e = verdict.Wrap(e.Code, verdict.MayHaveRun, e.Reason, e.Err)
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -91,6 +91,7 @@
 		Follower:  follower,
 		Directory: directory,
 		Processes: func() int { return peers.Count(mesh.Gateway) },
+		Isolated:  func() bool { return peers.Isolated(time.Now()) },
 		Log:       logger.Logger,
 	})
 	go peers.Run(background)
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -309,6 +309,7 @@
 		l.agent.meters.switches.Inc()
 		l.agent.log.Info().Str("event", "map_planned").Str("group", l.group.Name).Uint64("epoch", epoch).
 			Uint64("version", out.Map.Version).Int("copies", out.Copies).
+			Int64("pass_ms", l.agent.passes.mean.Milliseconds()).Float64("busy", l.busyShare()).
 			Float64("skew_before", out.Before).Float64("skew_after", out.After).Msg("")
 	}
 }
