--- a/backends/directory.go
+++ b/backends/directory.go
@@ -13,9 +13,6 @@
 const (
 	// statusLifetime is how long the status of a server counts after it arrived.
 	statusLifetime = 1500 * time.Millisecond
-	// lostRankRetry is how long the group of a rank that takes no connection is
-	// left out, unless its ranks say before that it opened in a new epoch.
-	lostRankRetry = 700 * time.Millisecond
 	// stallAfter is how long a group that has work makes no pass until it counts
 	// as stalled.
 	stallAfter = 450 * time.Millisecond
@@ -185,14 +182,8 @@
 func (d *Directory) GroupBroken(id string, retry time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e := d.servers[id]; e != nil {
-		d.breakGroup(e, retry)
-	}
-}
-
-// breakGroup leaves the group of a rank out until retry. The lock is held.
-func (d *Directory) breakGroup(e *entry, retry time.Time) {
-	if e.Group.Name == "" {
+	e := d.servers[id]
+	if e == nil || e.Group.Name == "" {
 		return
 	}
 	g := d.groups[e.Group.Name]
@@ -206,18 +197,13 @@
 }
 
 // Failed notes a failed request to a server. hard says that it did not take the
-// connection; the group of such a rank is left out as well, for it stalls.
+// connection. That says nothing of its group: the way there may be what fails.
 func (d *Directory) Failed(id string, hard bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.servers[id]
-	if e == nil {
-		return
-	}
-	e.health.fail(now, hard)
-	d.touch(e.Service)
-	if hard {
-		d.breakGroup(e, now.Add(lostRankRetry))
+	if e := d.servers[id]; e != nil {
+		e.health.fail(now, hard)
+		d.touch(e.Service)
 	}
 }
 
--- a/backends/directory_test.go
+++ b/backends/directory_test.go
@@ -63,13 +63,6 @@
 	assert.Equal(t, groupsChosen(t, d, 8, start)["g0"], 0)
 }
 
-func TestRankThatTakesNoConnectionTakesItsGroupOut(t *testing.T) {
-	d := twoGroups()
-	d.Failed("g0-1", true, start)
-	assert.Equal(t, groupsChosen(t, d, 8, start)["g0"], 0)
-	assert.Assert(t, groupsChosen(t, d, 8, start.Add(2*lostRankRetry))["g0"] > 0)
-}
-
 func TestStalledGroupIsChosenLast(t *testing.T) {
 	d := twoGroups()
 	for i := range 5 {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -293,9 +293,6 @@
 		x.g.logEnd(x, "broken_off", e.Reason)
 		panic(http.ErrAbortHandler)
 	}
-	if e.Code == verdict.Unavailable && x.g.options.Isolated() {
-		e = e.After(x.g.staleRetry()) // Another gateway may reach the servers.
-	}
 	if x.mayHaveRun {
 		e = verdict.Wrap(e.Code, verdict.MayHaveRun, e.Reason, e.Err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,8 +66,6 @@
 	Format    Format
 	Follower  *discovery.Follower
 	Directory *backends.Directory
-	// Isolated says that this gateway, or its zone, is cut off from the others.
-	Isolated func() bool
 	// Processes returns how many gateways are alive, this one included.
 	Processes func() int
 	Log       *log.Logger
@@ -176,10 +174,9 @@
 	return mux
 }
 
-// ready says whether new callers should come here. A gateway that is cut off
-// can serve less than the others.
+// ready says whether new callers should come here.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.follower.Table() != nil && g.fresh() && !g.options.Isolated()
+	return !g.draining.Load() && g.follower.Table() != nil && g.fresh()
 }
 
 // fresh says that the configuration is proved to be new enough to act on a key.
@@ -246,8 +243,8 @@
 const (
 	// staleRetryMin and staleRetrySpread say when a caller that was refused for
 	// want of a proof comes back: to another gateway, so soon.
-	staleRetryMin    = 30 * time.Millisecond
-	staleRetrySpread = 70 * time.Millisecond
+	staleRetryMin    = 100 * time.Millisecond
+	staleRetrySpread = 300 * time.Millisecond
 	// refusalRetryMin and refusalRetrySpread say when a caller comes back whose
 	// request servers refused.
 	refusalRetryMin    = 300 * time.Millisecond
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -190,21 +190,6 @@
 	assert.Assert(t, !s.gateway.ready())
 }
 
-// A gateway that is cut off sends its callers to others while they can still be
-// on time.
-func TestIsolatedGatewaySendsCallersElsewhere(t *testing.T) {
-	s := newStage(t)
-	s.start()
-	assert.Assert(t, s.gateway.ready())
-	s.isolated.Store(true)
-	assert.Assert(t, !s.gateway.ready())
-	got := s.call("/again/x")
-	assert.Equal(t, got.status, http.StatusServiceUnavailable)
-	after, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
-	assert.NilError(t, err)
-	assert.Assert(t, after <= 150*time.Millisecond, "%v", after)
-}
-
 func TestNothingIsSentOnceTheProofIsStale(t *testing.T) {
 	s := newStage(t)
 	a := s.server("a", func(c net.Conn, r *http.Request) { reply(c, r, 200, "ok") })
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -96,8 +96,6 @@
 	gateway *Gateway
 	callers *httptest.Server
 	servers []backends.Server
-	// isolated is what the mesh says.
-	isolated atomic.Bool
 }
 
 func newStage(t *testing.T) *stage {
@@ -168,7 +166,7 @@
 	s.t.Cleanup(cancel)
 	go follower.Run(ctx)
 	s.gateway = New(Options{
-		Format: plainFormat{}, Follower: follower, Directory: directory, Processes: func() int { return 1 }, Isolated: s.isolated.Load, Log: logger,
+		Format: plainFormat{}, Follower: follower, Directory: directory, Processes: func() int { return 1 }, Log: logger,
 		Bounds: Bounds{KeyProof: 600 * time.Millisecond, Retries: retry.WindowConfig{Span: 10 * time.Second, Free: 100}},
 	})
 	server := s.gateway.callerServer()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -91,7 +91,6 @@
 		Follower:  follower,
 		Directory: directory,
 		Processes: func() int { return peers.Count(mesh.Gateway) },
-		Isolated:  func() bool { return peers.Isolated(time.Now()) },
 		Log:       logger.Logger,
 	})
 	go peers.Run(background)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -23,9 +23,6 @@
 	helloPeers = 24
 	// peerLifetime is how long a peer counts as alive without news.
 	peerLifetime = 8 * time.Second
-	// isolatedAfter is the silence of all other zones after which a process takes
-	// itself for cut off. The agents of a zone send several datagrams a second.
-	isolatedAfter = 800 * time.Millisecond
 	// maxDatagram is the largest datagram that is read, in bytes.
 	maxDatagram = 64 << 10
 	// socketBuffer holds what arrives while the process does not run, in bytes.
@@ -57,8 +54,6 @@
 	mu    sync.Mutex
 	peers *Peers
 	rng   *rand.Rand
-	// foreign is when a peer of another zone was heard last.
-	foreign time.Time
 }
 
 // Listen opens the socket at the address of options.Self. Run does the rest.
@@ -172,9 +167,6 @@
 	sender := peerOf(packet.From, now)
 	var news []Peer
 	n.mu.Lock()
-	if sender.Zone != n.options.Self.Zone {
-		n.foreign = now
-	}
 	if n.peers.Learn(sender, now) {
 		news = append(news, sender)
 	}
@@ -216,14 +208,6 @@
 	return n.peers.Count(role)
 }
 
-// Isolated says that nothing has been heard from other zones for isolatedAfter,
-// although something was before: this process, or its zone, is cut off.
-func (n *Node) Isolated(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.foreign.IsZero() && now.Sub(n.foreign) > isolatedAfter
-}
-
 // Send sends a datagram to each of the peers. What cannot be sent is dropped.
 func (n *Node) Send(packet *meshpb.Packet, to ...Peer) {
 	payload := n.encode(packet)
