--- a/backends/admit_test.go
+++ b/backends/admit_test.go
@@ -87,10 +87,9 @@
 	passOf := func(running int) time.Duration {
 		return 40*time.Millisecond + time.Duration(running)*9*time.Millisecond
 	}
-	slots := 12
 	running := 12
 	for range 20 {
-		slots = usefulSlots(12, float64(running), passOf(running), pause)
+		slots := usefulSlots(12, float64(running), passOf(running), pause)
 		running = min(12, slots)
 	}
 	assert.Assert(t, passOf(running) <= pause, "passes take %v", passOf(running))
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"bluebellwind.example/ingress"
@@ -61,6 +63,12 @@
 // owner calls Done once.
 type Choice struct {
 	Server
+	// Running and Waiting are what the server's status said, which was StatusAge
+	// old; without meaning for servers without a status.
+	Running, Waiting int
+	StatusAge        time.Duration
+	// Wait is how long the request was expected to wait for a slot.
+	Wait time.Duration
 
 	choice *routing.Choice
 }
@@ -88,13 +96,18 @@
 		t.outdated, t.updated = false, now
 	}
 	r := routing.Request{PromptTokens: n.PromptTokens, Tried: d.avoided(n)}
-	if wait := t.wait(n, r); wait > patienceOf(n) {
-		return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "all slots are taken and others wait").
+	p := t.pressure(n, r)
+	wait, limit := p.wait(), patienceOf(n)
+	if wait > limit {
+		cause := fmt.Errorf("a wait of %d ms of at most %d: %d of %d slots reported, %d sent since by each of %d",
+			wait.Milliseconds(), limit.Milliseconds(), p.backlog.Reported, p.backlog.Slots, p.backlog.Sent, p.processes)
+		return nil, verdict.Wrap(verdict.Overloaded, verdict.NotRun, "all slots are taken and others wait", cause).
 			After(d.returnAfter(wait))
 	}
 	choice, err := t.table.Pick(r, now)
 	if err != nil {
-		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "no backend server can take this request").
+		cause := fmt.Errorf("%d servers known, closed groups: %v", len(d.servers), slices.Sorted(maps.Keys(d.closedGroups(now))))
+		return nil, verdict.Wrap(verdict.Unavailable, verdict.NotRun, "no backend server can take this request", cause).
 			After(d.reopens(n.Name, now))
 	}
 	e := d.servers[choice.Server]
@@ -102,16 +115,19 @@
 		choice.Done()
 		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").After(plainReturn)
 	}
-	return &Choice{Server: e.Server, choice: choice}, nil
+	status := d.statuses[e.Address]
+	return &Choice{
+		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.At), Wait: wait, choice: choice,
+	}, nil
 }
 
-// wait is how long the request would wait for a slot. Plain services report no
-// load, and refuse themselves.
-func (t *serviceTable) wait(n Need, r routing.Request) time.Duration {
+// pressure is the work before a request. Plain services report no load, and
+// refuse themselves.
+func (t *serviceTable) pressure(n Need, r routing.Request) pressure {
 	if n.Service == nil || n.Service.Engine == nil {
-		return 0
+		return pressure{}
 	}
-	return pressure{backlog: t.table.Backlog(r), processes: n.Processes, service: t.service}.wait()
+	return pressure{backlog: t.table.Backlog(r), processes: n.Processes, service: t.service}
 }
 
 // avoided returns the servers that must not be chosen for n.
@@ -233,7 +249,9 @@
 			closed[name] = true
 		case reported && status.Group.Epoch == newest[name] && !status.Open:
 			closed[name] = true
-		case e.Group.Epoch == newest[name] && !e.Open && !(reported && status.Group.Epoch == newest[name]):
+		case reported && status.Group.Epoch == newest[name]:
+			// The status is newer than what is published.
+		case e.Group.Epoch == newest[name] && !e.Open:
 			closed[name] = true
 		}
 	}
@@ -279,10 +297,3 @@
 	s, ok := d.statuses[e.Address]
 	return s, ok
 }
-
-// String describes the directory for logs.
-func (d *Directory) String() string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return fmt.Sprintf("%d servers, %d statuses", len(d.servers), len(d.statuses))
-}
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -105,7 +105,7 @@
 		return fmt.Errorf("discovery: peer: %w", err)
 	}
 	conn := drpcconn.New(raw)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }() // The answer is here, or an error is.
 	reply, err := discoverypb.NewDRPCGatewaysClient(conn).Published(ctx, &discoverypb.Question{KnownVersion: known})
 	if err != nil {
 		return fmt.Errorf("discovery: peer: %w", err)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -50,10 +50,10 @@
 	lastEvent    uint64
 	hasLastEvent bool
 	events       int
-	// refusal is the last refusal of a server, passed on if nothing else helps.
-	refusal *upstream.Answer
-	choice  *backends.Choice
-	cause   string
+	// first is when the first event went out, after the arrival.
+	first  time.Duration
+	choice *backends.Choice
+	cause  string
 }
 
 // outcome says what came of one try.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 	}
 	ready, err := net.Listen("tcp", g.options.Ready)
 	if err != nil {
-		callers.Close()
+		_ = callers.Close() // The other error is the cause.
 		return fmt.Errorf("gateway: ready: %w", err)
 	}
 	server := g.callerServer()
@@ -241,19 +241,19 @@
 }
 
 const (
-	// staleRetryMin and staleRetrySpread say when a caller that was refused for
+	// staleRetryBaseand staleRetrySpread say when a caller that was refused for
 	// want of a proof comes back: to another gateway, so soon.
-	staleRetryMin    = 100 * time.Millisecond
+	staleRetryBase   = 100 * time.Millisecond
 	staleRetrySpread = 300 * time.Millisecond
-	// refusalRetryMin and refusalRetrySpread say when a caller comes back whose
+	// refusalRetryBaseand refusalRetrySpread say when a caller comes back whose
 	// request servers refused.
-	refusalRetryMin    = 300 * time.Millisecond
+	refusalRetryBase   = 300 * time.Millisecond
 	refusalRetrySpread = 700 * time.Millisecond
 )
 
-func (g *Gateway) staleRetry() time.Duration { return spread(staleRetryMin, staleRetrySpread) }
+func (g *Gateway) staleRetry() time.Duration { return spread(staleRetryBase, staleRetrySpread) }
 
-func (g *Gateway) refusalRetry() time.Duration { return spread(refusalRetryMin, refusalRetrySpread) }
+func (g *Gateway) refusalRetry() time.Duration { return spread(refusalRetryBase, refusalRetrySpread) }
 
 // spread draws a time, so that callers refused together come back apart.
 func spread(least, width time.Duration) time.Duration {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -108,7 +108,7 @@
 	s.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(s.t, err)
-	s.t.Cleanup(func() { l.Close() })
+	s.t.Cleanup(func() { _ = l.Close() })
 	b := &stub{Server: backends.Server{ID: id, Service: "svc", Address: l.Addr().String(), Zone: "z", Slots: 4}}
 	go func() {
 		for {
@@ -174,7 +174,7 @@
 	assert.NilError(s.t, err)
 	s.callers = &httptest.Server{URL: "http://" + l.Addr().String(), Listener: l, Config: server}
 	go func() { _ = server.Serve(l) }()
-	s.t.Cleanup(func() { server.Close() })
+	s.t.Cleanup(func() { _ = server.Close() })
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		if s.gateway.ready() {
 			return poll.Success()
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -106,8 +106,12 @@
 		return missing
 	}
 	addresses := []named{
-		{"mesh", n.Mesh}, {"metrics", n.Metrics}, {"callers", n.Callers},
-		{"ready", n.Ready}, {"store", n.Store}, {"server", n.Server},
+		{"mesh", n.Mesh},
+		{"metrics", n.Metrics},
+		{"callers", n.Callers},
+		{"ready", n.Ready},
+		{"store", n.Store},
+		{"server", n.Server},
 	}
 	for i, seed := range n.Seeds {
 		addresses = append(addresses, named{fmt.Sprintf("seeds[%d]", i), seed})
--- /dev/null
+++ b/internal/config/node_test.go
@@ -0,0 +1,52 @@
+package config_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/internal/config"
+)
+
+const nodeSettings = `name: "gw"
+zone: "z"
+mesh: "10.0.0.1:7180"
+seeds: ["10.0.0.2:8229", "10.0.0.3:8229"]
+store: "10.0.0.9:8223"
+callers: "10.0.0.1:8227"
+ready: "10.0.0.1:8220"
+bounds:
+  revoke_ms: 4000
+`
+
+func TestNodeSettings(t *testing.T) {
+	n, err := config.ParseNode("s.yaml", []byte(nodeSettings))
+	assert.NilError(t, err)
+	assert.NilError(t, n.CheckGateway("s.yaml"))
+	assert.ErrorContains(t, n.CheckAgent("s.yaml"), "server")
+	assert.DeepEqual(t, n.MeshSeeds(), []string{"10.0.0.2:7180", "10.0.0.3:7180"})
+	assert.Equal(t, n.Bounds.RevokeBound(), 4*time.Second)
+	assert.Equal(t, n.Bounds.Grace(), 8*time.Second)
+}
+
+func TestNodeSettingsNameTheBadField(t *testing.T) {
+	cases := map[string]string{
+		nodeSettings + "colour: red\n":              "s.yaml:10: colour",
+		nodeSettings + "  retry_ratio: 3\n":         "s.yaml:10: bounds.retry_ratio",
+		nodeSettings + "metrics: \"here\"\n":        "s.yaml:10: metrics",
+		"name: \"gw\"\nmesh: \"10.0.0.1:7180\"\n":   "zone",
+		nodeSettings + "memory_mb: \"plenty\"\n":    "s.yaml:10",
+		nodeSettings + "  grace_s: -1\n":            "s.yaml:10: bounds.grace_s",
+		nodeSettings + "server: \"10.0.0.1:\"\n":    "s.yaml:10: server",
+		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:10: bounds.retry_window_s",
+		nodeSettings + "  retry_free: -1\n":         "s.yaml:10: bounds.retry_free",
+		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:10: revoke_ms",
+		"name: [\n":                                 "s.yaml:",
+		"name: \"gw\"\nzone: \"z\"\nmesh: \"nope\"": "s.yaml:3: mesh",
+	}
+	for text, want := range cases {
+		_, err := config.ParseNode("s.yaml", []byte(text))
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/opscmd/trace.go
+++ b/internal/opscmd/trace.go
@@ -15,6 +15,9 @@
 type Trace struct {
 	Connection
 	ID string `arg:"" help:"The request's id, from X-Request-Id of its answer or from a log."`
+
+	Log    []string      `name:"log" placeholder:"FILE" help:"Read logs of gateways and agents instead of asking entries; - is standard input. May be given more than once."`
+	Around time.Duration `default:"2s" help:"With --log: also show what the same instances learnt of servers, configuration and peers so long before and after."`
 }
 
 // Help returns the examples that --help shows.
@@ -29,6 +32,8 @@
 Examples:
 
     bluebellwind trace -c client.yaml 0198c5b4-58a3-7cc0-9d6a-5f1f9a1b2c3d
+    bluebellwind trace --log gateway-1.log --log gateway-2.log 4fe0721edb5b55e8
+    cat *.log | bluebellwind trace --log - --around 0s 4fe0721edb5b55e8
     bluebellwind trace -c client.yaml -o json 0198c5b4-58a3-7cc0-9d6a-5f1f9a1b2c3d`
 }
 
@@ -64,6 +69,9 @@
 
 // Run looks for the request.
 func (t *Trace) Run(env *cli.Env) error {
+	if len(t.Log) > 0 {
+		return t.fromLogs(env)
+	}
 	c, err := t.open()
 	if err != nil {
 		return err
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -88,7 +88,7 @@
 
 // Run introduces this process and reads datagrams until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	defer context.AfterFunc(ctx, func() { n.socket.Close() })()
+	defer context.AfterFunc(ctx, func() { _ = n.socket.Close() })()
 	go n.introduce(ctx)
 	buffer := make([]byte, maxDatagram)
 	for {
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -85,7 +85,6 @@
 	inUse    *groupmap.Map
 	planned  time.Time
 	switched time.Time
-	began    time.Time
 	reading  bool
 }
 
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -144,7 +144,7 @@
 	}
 	written := make(chan error, 1)
 	go func() {
-		_, err := c.Conn.Write(r.Body)
+		_, err := c.Write(r.Body)
 		written <- err
 	}()
 	return written, nil
--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	accepted = &atomic.Int64{}
 	go func() {
 		for {
@@ -151,7 +151,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	closed := l.Addr().String()
-	l.Close()
+	assert.NilError(t, l.Close())
 	p := upstream.NewPool()
 	_, err = ask(t, p, request(closed, "1"))
 	var failure *upstream.Error
