--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -241,11 +241,11 @@
 }
 
 const (
-	// staleRetryBaseand staleRetrySpread say when a caller that was refused for
+	// staleRetryBase and staleRetrySpread say when a caller that was refused for
 	// want of a proof comes back: to another gateway, so soon.
 	staleRetryBase   = 100 * time.Millisecond
 	staleRetrySpread = 300 * time.Millisecond
-	// refusalRetryBaseand refusalRetrySpread say when a caller comes back whose
+	// refusalRetryBase and refusalRetrySpread say when a caller comes back whose
 	// request servers refused.
 	refusalRetryBase   = 300 * time.Millisecond
 	refusalRetrySpread = 700 * time.Millisecond
