One copy of the bound on unacknowledged bytes; take out names that nobody uses

Cause: a newcomer's read. internal/rpc had its own copy of what internal/nettimeout does; errors of it were dropped, now they end the connection.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -36,9 +36,10 @@
 type entry struct {
 	Server
 	health health
-	// removedAt is set while a server whose publication lapsed is given time to
-	// come back.
+	// lapses is when a server that is no longer published goes, unless it is
+	// published again; zero while it is published.
 	lapses time.Time
+	// load is what the server stated in an answer at loadAt.
 	load   Load
 	loadAt time.Time
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -167,12 +167,11 @@
 func (x *exchange) try(choice *backends.Choice) outcome {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	began := time.Now()
 	x.cause = ""
 	before := x.mayHaveRun
 	answer, err := x.g.pool.Send(ctx, x.outgoing(choice))
 	if err != nil {
-		return x.failedSend(choice, err, began)
+		return x.failedSend(choice, err)
 	}
 	defer answer.Close()
 	notes := x.g.format.ReadNotes(answer.Status, answer.Header)
@@ -248,7 +247,7 @@
 }
 
 // failedSend judges a request that got no head of an answer.
-func (x *exchange) failedSend(choice *backends.Choice, err error, began time.Time) outcome {
+func (x *exchange) failedSend(choice *backends.Choice, err error) outcome {
 	if errors.Is(err, errStale) {
 		return stale
 	}
@@ -261,7 +260,6 @@
 	if !errors.Is(err, upstream.ErrBusy) {
 		x.g.directory.Failed(choice.ID, !sent, time.Now())
 	}
-	x.g.noteFailure(choice, sent, time.Since(began))
 	if sent {
 		return broken
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -82,9 +82,3 @@
 	x.first = time.Since(x.arrived)
 	g.metrics.first(x, x.first)
 }
-
-// noteFailure logs a send that got no answer.
-func (g *Gateway) noteFailure(choice *backends.Choice, sent bool, after time.Duration) {
-	g.log.Debug().Str("event", "send_failed").Str("server", choice.ID).Bool("sent", sent).
-		Int64("after_ms", after.Milliseconds()).Msg("")
-}
--- a/groupmap/switch.go
+++ b/groupmap/switch.go
@@ -370,7 +370,7 @@
 		}
 	}
 	out := s.armAll(now, version, step)
-	if armed < len(s.ranks) && !(s.withoutUnanimity && armed > 0) {
+	if armed < len(s.ranks) && (!s.withoutUnanimity || armed == 0) {
 		return out
 	}
 	for i, r := range s.ranks {
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"bluebellwind.example/internal/keys"
+	"bluebellwind.example/internal/nettimeout"
 )
 
 const (
@@ -78,7 +79,10 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	setUnackedTimeout(raw)
+	if err := nettimeout.Set(raw, unackedTimeout); err != nil {
+		raw.Close()
+		return nil, &DialError{Address: address, Err: err}
+	}
 	conn := tls.Client(raw, p.keys.Client(p.roles...))
 	if err := conn.HandshakeContext(ctx); err != nil {
 		raw.Close()
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"bluebellwind.example/internal/keys"
+	"bluebellwind.example/internal/nettimeout"
 )
 
 const handshakeTimeout = 5 * time.Second
@@ -58,7 +59,10 @@
 			time.Sleep(10 * time.Millisecond) // Out of descriptors: wait for some to close.
 			continue
 		}
-		setUnackedTimeout(raw)
+		if err := nettimeout.Set(raw, unackedTimeout); err != nil {
+			raw.Close() // Closed by its peer already.
+			continue
+		}
 		s.track(raw)
 		s.wg.Add(1)
 		go s.serveOne(ctx, raw, tls.Server(raw, cfg))
