--- a/Makefile
+++ b/Makefile
@@ -64,4 +64,6 @@
 	$(call PROTOC,membership/membershippb,membership.proto)
 	$(call PROTOC,limits/limitspb,limits.proto)
 	$(call PROTOC,internal/operatorpb,operator.proto)
+	$(call PROTOC,discovery/discoverypb,discovery.proto)
+	protoc -I mesh/meshpb --go_out=mesh/meshpb --go_opt=paths=source_relative mesh.proto
 	protoc -I suspects --go_out=suspects/suspectspb --go_opt=paths=source_relative report.proto
