Wait until a stopped process stands still

The kernel stops threads some time after the signal, so the test asked an agent that still ran. Ruled out: a fault of the entry; its log shows the same whole answer.

Change: after SIGSTOP the tests wait until every thread of the process is stopped; the check of the answer is as it was.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -58,6 +61,25 @@
 func (c *cluster) signal(name string, s syscall.Signal) {
 	c.t.Helper()
 	assert.NilError(c.t, c.processes[name].cmd.Process.Signal(s))
+	if s == syscall.SIGSTOP {
+		c.eventually("every thread of "+name+" stands still", func() bool {
+			return stopped(c.processes[name].cmd.Process.Pid)
+		})
+	}
+}
+
+// stopped says that no thread of a process runs any more: the kernel stops them
+// one after the other, some time after the signal.
+func stopped(pid int) bool {
+	stats, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/task/*/stat")
+	for _, name := range stats {
+		stat, readErr := os.ReadFile(name)
+		_, after, _ := strings.Cut(string(stat), ") ")
+		if readErr != nil || !strings.HasPrefix(after, "T") {
+			return false
+		}
+	}
+	return err == nil && len(stats) > 0
 }
 
 // drafts makes a cluster with n engines of the given pace and one entry.
