Reset the connection of a server that was given up

Change: every request that ends without a whole answer resets its connection. Test: TestSilentServerIsReset, failing before.

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -86,6 +86,7 @@
 	a, failure := p.exchange(c, r)
 	if failure != nil {
 		stop()
+		c.abort()
 		p.drop(c)
 		if ctx.Err() != nil {
 			failure.Err = errors.Join(ctx.Err(), failure.Err)
@@ -227,6 +228,9 @@
 	a.closed = true
 	a.body.Close()
 	undisturbed := a.stop()
+	if !a.whole {
+		a.conn.abort()
+	}
 	if !a.whole || !a.keep || !undisturbed || !a.sent() || a.conn.reader.Buffered() > 0 {
 		a.pool.drop(a.conn)
 		return
--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -249,6 +249,22 @@
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
+func TestSilentServerIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	r := request(l.Addr().String(), "1")
+	r.Wait = func(time.Duration) bool { return false }
+	_, err = upstream.NewPool().Send(context.Background(), r)
+	assert.ErrorIs(t, err, upstream.ErrSilent)
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = io.ReadAll(c)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 func TestOpenConnectionsToAServerAreBounded(t *testing.T) {
 	address, accepted := backend(t, func(_ net.Conn, r *bufio.Reader) {
 		readRequest(r)
