--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOLANGCI_VERSION := v2.12.2
 BIN := $(CURDIR)/bin
 
-.PHONY: build demo test test-race known-red lint bench measure proofs-must-fail soak generate
+.PHONY: build demo test test-race known-red lint bench measure proofs-must-fail soak soak-faults generate
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -57,6 +57,11 @@
 	BBW_SOAK=$(SEEDS) $(GO) test -count=1 -run TestSoak -v ./mapswitch
 	$(GO) test ./suspects -count=1 -v -run TestCrasherIsBounded -rapid.checks=$(shell expr $(SEEDS) / 100 + 1)
 
+# Faults against real processes: make soak-faults SEEDS=1-50 LOGS=/some/dir.
+soak-faults: SEEDS = 1-50
+soak-faults:
+	BBW_FAULT_SEEDS=$(SEEDS) BBW_FAULT_LOGS=$(LOGS) $(GO) test -count=1 -timeout 60m -parallel 4 -run TestFaults -v ./soak
+
 PROTOC = protoc -I $(1) --go_out=$(1) --go_opt=paths=source_relative --go-drpc_out=$(1) --go-drpc_opt=paths=source_relative $(1)/$(2)
 generate:
 	$(call PROTOC,wire,bluebellwind.proto)
