Errors of closing in the soak are looked at

Cause: the linter found six ignored errors in soak, which had been written where the linter was not installed. Ruled out: nothing. Before: make lint fails with 6 findings. After: make lint passes.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -53,7 +54,7 @@
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
 func (p *proxy) close() {
-	p.listener.Close()
+	_ = p.listener.Close() // Nothing listens any more either way.
 	p.set(linkReset)
 }
 
@@ -75,7 +76,7 @@
 // reset closes a connection so that the other side sees a reset.
 func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0) // It is closed either way.
-	c.Close()
+	_ = c.Close()
 }
 
 func (p *proxy) accept() {
@@ -93,7 +94,7 @@
 	if err != nil || !p.track(client, server.(*net.TCPConn)) {
 		reset(client)
 		if err == nil {
-			server.Close()
+			_ = server.Close() // Nothing was sent.
 		}
 		return
 	}
@@ -133,7 +134,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite() // The other direction ends by itself.
 			return
 		}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -115,8 +115,7 @@
 	if err != nil {
 		return network{}, err
 	}
-	defer l.Close()
-	return network{run: run, port: l.Addr().(*net.TCPAddr).Port}, nil
+	return network{run: run, port: l.Addr().(*net.TCPAddr).Port}, l.Close()
 }
 
 func (n *network) ip() string {
@@ -174,7 +173,7 @@
 	}
 	server := &http.Server{Handler: h, ErrorLog: quiet}
 	go func() { _ = server.Serve(l) }() // It ends when the run does.
-	r.stop = append(r.stop, func() { server.Close() })
+	r.stop = append(r.stop, func() { _ = server.Close() })
 	return l.Addr().String(), nil
 }
 
@@ -330,8 +329,7 @@
 	if err != nil {
 		return "", err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return l.Addr().String(), l.Close()
 }
 
 func (r *rig) addAgents(daemon, dir string) error {
