Admission by groups, real passes and remembered peaks; faster switches, fewer copies

(1) The expected wait took the engine's nominal step, so that 354 ms expected were 1,088 in fact; a slow group's slots counted like any others. (2) A switch took 0.65 to 0.75 s while experts in demand change every 2 to 2.8 s, and a plan of little gain held the next one up. Changed: waits by the time of real passes, by group; what is late anyway goes to groups that are late anyway; slots by the longest passes of the last seconds; holds two passes ahead where a pass is longer than the ranks need to be armed; the map in use is known from the plan; ranks are read every 35 ms after an order; popularity is forgotten at a shift; least gain 0.15 in place of 0.08.

--- a/backends/admit.go
+++ b/backends/admit.go
@@ -1,10 +1,6 @@
 package backends
 
-import (
-	"time"
-
-	"bluebellwind.example/routing"
-)
+import "time"
 
 const (
 	// newcomerShare is the share of the objective that a new request may wait for
@@ -16,58 +12,24 @@
 	// resumedWait is how long a request may wait that a server has begun: what was
 	// done for it would be lost.
 	resumedWait = 2 * time.Second
-	// passShare is the share of the longest pause that a pass should take.
-	passShare = 0.88
-	// leastSlots is the share of the slots that is always used.
-	leastSlots = 0.34
 	// lastShare is the share of its remaining time that a request may wait at all.
 	lastShare = 0.4
+	// longestShare is the share of its remaining time that an answer may take.
+	longestShare = 0.8
 )
 
-// pressure is what decides whether a service takes one more request.
-type pressure struct {
-	backlog routing.Backlog
-	// processes is how many gateways send to the servers; each sees its own
-	// requests since the last report only.
-	processes int
-	// service is how long a request holds a slot.
-	service time.Duration
-}
-
-// wait is how long a new request waits for a slot, about.
-func (p pressure) wait() time.Duration {
-	b := p.backlog
-	if b.Servers == 0 || b.Slots == 0 {
-		return 0
-	}
-	over := b.Reported + b.Sent*max(1, p.processes) + 1 - b.Slots
-	if over <= 0 {
-		return 0
-	}
-	return time.Duration(float64(p.service) * float64(over) / float64(b.Slots))
-}
-
-// usefulSlots is how many slots of a rank may be used while a pass of its group,
-// with so many requests running on a rank, takes as long as it does. All streams
-// of a group pause for each pass, so one request too many makes all of them late.
-func usefulSlots(slots int, running float64, pass, pause time.Duration) int {
-	target := time.Duration(passShare * float64(pause))
-	if pause == 0 || pass <= target {
-		return slots
-	}
-	useful := running * float64(target) / float64(pass)
-	return min(slots, max(int(useful), int(leastSlots*float64(slots)), 1))
-}
+// late says that the request is late wherever it goes.
+func (n *Need) late() bool { return n.Returned || n.Resumed }
 
-// patienceOf is how long the request may wait for a slot. A new one that would
-// wait longer is better refused at once, as it would make all that follow late
-// as well.
-func patienceOf(n Need) time.Duration {
+// patience is how long the request may wait for a slot of a pool. A new one that
+// would wait longer is better refused at once, as it would make all that follow
+// late as well.
+func (n *Need) patience(latePool bool) time.Duration {
 	limit := time.Duration(newcomerShare * float64(n.Objective))
 	switch {
 	case n.Resumed:
 		limit = resumedWait
-	case n.Returned:
+	case n.Returned || latePool:
 		limit = returnedWait
 	}
 	if n.Remaining > 0 {
@@ -75,3 +37,52 @@
 	}
 	return limit
 }
+
+// fits says that the answer can be whole in the time that is left.
+func (n *Need) fits(p *pool) bool {
+	e := n.Service.Engine
+	if n.Remaining == 0 || n.AnswerTokens == 0 || n.Resumed {
+		return true
+	}
+	takes := p.pass * time.Duration(n.AnswerTokens) / time.Duration(max(1, e.Stride))
+	return takes <= time.Duration(longestShare*float64(n.Remaining))
+}
+
+// decision is where a request may go. Without a pool it is refused.
+type decision struct {
+	admitted bool
+	// late is the pool that it goes to: that of the groups whose streams are late
+	// anyway, or the other.
+	late bool
+	// wait is the shortest expected, limit the longest that the request may.
+	wait, limit time.Duration
+}
+
+// admit decides whether a request is taken, and to which groups it goes. One that
+// can be on time goes to groups that are; one that is late anyway leaves their
+// slots to others as long as it can.
+func admit(n *Need, onTime, late *pool) decision {
+	order := []bool{false, true}
+	if n.late() {
+		order = []bool{true, false}
+	}
+	var refused decision
+	for _, inLate := range order {
+		p := onTime
+		if inLate {
+			p = late
+		}
+		if p.groups == 0 {
+			continue
+		}
+		d := decision{late: inLate, wait: p.wait(n.Processes), limit: n.patience(inLate)}
+		if d.wait <= d.limit && (!inLate || n.fits(p) || onTime.groups == 0) {
+			d.admitted = true
+			return d
+		}
+		if refused.limit == 0 || d.wait < refused.wait {
+			refused = d
+		}
+	}
+	return refused
+}
--- a/backends/directory.go
+++ b/backends/directory.go
@@ -50,6 +50,14 @@
 	// unless its ranks say otherwise before.
 	brokenUntil time.Time
 	brokenEpoch uint64
+	// pass is how long passes take, and full how long with all slots in use; peak
+	// is the latter of late. Zero while nothing is known.
+	pass, full time.Duration
+	peak       passPeak
+	// inFlight is how many requests of this process are there, and meter how many
+	// it sends.
+	inFlight int
+	meter    sendMeter
 }
 
 // NewDirectory returns an empty directory for a process in a zone. Processes
@@ -187,16 +195,23 @@
 	if e == nil || e.Group.Name == "" {
 		return
 	}
-	g := d.groups[e.Group.Name]
-	if g == nil {
-		g = &group{}
-		d.groups[e.Group.Name] = g
-	}
+	g := d.group(e.Group.Name)
 	g.brokenUntil = retry
 	g.brokenEpoch = max(e.Group.Epoch, d.statuses[e.Address].Group.Epoch)
 	d.touch(e.Service)
 }
 
+// group returns what is known of a group, which begins with nothing. The lock is
+// held.
+func (d *Directory) group(name string) *group {
+	g := d.groups[name]
+	if g == nil {
+		g = &group{}
+		d.groups[name] = g
+	}
+	return g
+}
+
 // Failed notes a failed request to a server. hard says that it did not take the
 // connection. That says nothing of its group: the way there may be what fails.
 func (d *Directory) Failed(id string, hard bool, now time.Time) {
@@ -255,6 +270,6 @@
 	table    *routing.Table
 	outdated bool
 	updated  time.Time
-	// service is how long a request holds a slot.
-	service time.Duration
+	// loads of the groups of an engine service that may be chosen.
+	loads map[string]groupLoad
 }
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -43,6 +43,8 @@
 	Name    string
 	// PromptTokens of the request; zero for plain services.
 	PromptTokens int
+	// AnswerTokens that the caller expects; zero if it does not say.
+	AnswerTokens int
 	Tried        []string
 	// Objective is the time in which the answer should begin; Remaining what is
 	// left until the caller's deadline, zero if it set none.
@@ -59,6 +61,10 @@
 	AvoidGroups []string
 }
 
+// generates says that the servers are model engines. Plain services report no
+// load, and refuse themselves.
+func (n *Need) generates() bool { return n.Service != nil && n.Service.Engine != nil }
+
 // Choice is a server that a request is sent to and counts as in flight at. Its
 // owner calls Done once.
 type Choice struct {
@@ -70,11 +76,18 @@
 	// Wait is how long the request was expected to wait for a slot.
 	Wait time.Duration
 
-	choice *routing.Choice
+	choice    *routing.Choice
+	directory *Directory
+	group     *group
 }
 
 // Done notes that the request no longer runs on the server.
-func (c *Choice) Done() { c.choice.Done() }
+func (c *Choice) Done() {
+	c.choice.Done()
+	c.directory.mu.Lock()
+	defer c.directory.mu.Unlock()
+	c.group.inFlight--
+}
 
 // Progress notes that the server sent something.
 func (c *Choice) Progress(now time.Time) { c.choice.Progress(now) }
@@ -90,21 +103,21 @@
 		d.tables[n.Name] = t
 	}
 	if t.outdated || now.Sub(t.updated) > refreshPeriod {
-		view := d.view(n, now)
+		view := d.view(&n, now)
 		t.table.Update(view)
-		t.service = time.Duration(view.MeanTokens * float64(view.StepTime))
+		t.loads = d.loads(&n, view.Candidates, now)
 		t.outdated, t.updated = false, now
 	}
-	r := routing.Request{PromptTokens: n.PromptTokens, Tried: d.avoided(n)}
-	p := t.pressure(n, r)
-	wait, limit := p.wait(), patienceOf(n)
-	if wait > limit {
-		cause := fmt.Errorf("a wait of %d ms of at most %d: %d of %d slots reported, %d sent since by each of %d",
-			wait.Milliseconds(), limit.Milliseconds(), p.backlog.Reported, p.backlog.Slots, p.backlog.Sent, p.processes)
-		return nil, verdict.Wrap(verdict.Overloaded, verdict.NotRun, "all slots are taken and others wait", cause).
-			After(d.returnAfter(wait))
+	avoided := d.inGroups(n.AvoidGroups)
+	var wait time.Duration
+	if n.generates() {
+		admitted, others, err := d.admit(&n, t, now)
+		if err != nil {
+			return nil, err
+		}
+		wait, avoided = admitted.wait, append(avoided, others...)
 	}
-	choice, err := t.table.Pick(r, now)
+	choice, err := t.table.Pick(routing.Request{PromptTokens: n.PromptTokens, Tried: append(avoided, n.Tried...)}, now)
 	if err != nil {
 		cause := fmt.Errorf("%d servers known, closed groups: %v", len(d.servers), slices.Sorted(maps.Keys(d.closedGroups(now))))
 		return nil, verdict.Wrap(verdict.Unavailable, verdict.NotRun, "no backend server can take this request", cause).
@@ -115,59 +128,148 @@
 		choice.Done()
 		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").After(plainReturn)
 	}
+	g := d.group(e.Group.Name)
+	g.inFlight++
+	g.meter.sent(now)
 	status := d.statuses[e.Address]
 	return &Choice{
-		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.At), Wait: wait, choice: choice,
+		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.At), Wait: wait,
+		choice: choice, directory: d, group: g,
 	}, nil
 }
 
-// pressure is the work before a request. Plain services report no load, and
-// refuse themselves.
-func (t *serviceTable) pressure(n Need, r routing.Request) pressure {
-	if n.Service == nil || n.Service.Engine == nil {
-		return pressure{}
+// admit decides whether the request is taken now. It returns the servers that it
+// must not go to. The error is that of Pick. The lock is held.
+func (d *Directory) admit(n *Need, t *serviceTable, now time.Time) (admitted decision, others []string, err error) {
+	onTime, late := d.pools(n, t, now)
+	if onTime.groups+late.groups == 0 {
+		return decision{}, nil, nil // The choice among the servers says why.
+	}
+	admitted = admit(n, onTime, late)
+	if !admitted.admitted {
+		cause := fmt.Errorf("a wait of %d ms of at most %d: %d and %d run and wait for %d slots, and %d for %d in groups that are late",
+			admitted.wait.Milliseconds(), admitted.limit.Milliseconds(), onTime.running, onTime.waiting, onTime.slots,
+			late.running+late.waiting, late.slots)
+		return decision{}, nil, verdict.Wrap(verdict.Overloaded, verdict.NotRun, "all slots are taken and others wait", cause).
+			After(d.returnAfter(admitted.wait))
+	}
+	var elsewhere []string
+	for name, g := range t.loads {
+		if g.late != admitted.late {
+			elsewhere = append(elsewhere, name)
+		}
+	}
+	return admitted, d.inGroups(elsewhere), nil
+}
+
+// pools sums up the groups that the request may go to. Stalled groups count only
+// if there is no other. The lock is held.
+func (d *Directory) pools(n *Need, t *serviceTable, now time.Time) (onTime, late *pool) {
+	for _, stalled := range []bool{false, true} {
+		onTime, late = &pool{}, &pool{}
+		for name, load := range t.loads {
+			if load.stalled != stalled || slices.Contains(n.AvoidGroups, name) {
+				continue
+			}
+			load.sendRate = d.group(name).meter.perSecond(now)
+			if load.late {
+				late.add(load)
+			} else {
+				onTime.add(load)
+			}
+		}
+		if onTime.groups+late.groups > 0 {
+			break
+		}
 	}
-	return pressure{backlog: t.table.Backlog(r), processes: n.Processes, service: t.service}
+	return onTime, late
 }
 
-// avoided returns the servers that must not be chosen for n.
-func (d *Directory) avoided(n Need) []string {
-	if len(n.AvoidGroups) == 0 {
-		return n.Tried
+// inGroups returns the servers of the named groups. The lock is held.
+func (d *Directory) inGroups(names []string) []string {
+	if len(names) == 0 {
+		return nil
 	}
-	out := append([]string(nil), n.Tried...)
+	var out []string
 	for id, e := range d.servers {
+		if e.Group.Name != "" && slices.Contains(names, e.Group.Name) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// loads sums up the candidates that may be chosen, by group. The lock is held.
+func (d *Directory) loads(n *Need, candidates []routing.Candidate, now time.Time) map[string]groupLoad {
+	if !n.generates() {
+		return nil
+	}
+	out := make(map[string]groupLoad)
+	stalled := d.stalledGroups()
+	ranks, silent := make(map[string]int), make(map[string]int)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Leaving || c.Suspected {
+			continue
+		}
+		e := d.servers[c.Server]
 		name := e.Group.Name
-		for _, avoid := range n.AvoidGroups {
-			if name == avoid && name != "" {
-				out = append(out, id)
-			}
+		load := out[name]
+		ranks[name]++
+		load.slots += c.Load.Slots
+		if _, reported := d.statuses[e.Address]; reported {
+			load.running += c.Load.Running
+			load.waiting += c.Load.Queued[routing.Standard]
+			load.age += (now.Sub(c.Load.At) - load.age) / time.Duration(ranks[name])
+		} else {
+			silent[name]++
 		}
+		out[name] = load
+	}
+	for name, load := range out {
+		g := d.group(name)
+		// Of ranks that say nothing, only the own requests are known.
+		load.running += g.inFlight * max(1, n.Processes) * silent[name] / ranks[name]
+		load.stalled = stalled[name]
+		load.pass, load.service = d.passOf(n, g)
+		load.late = alwaysLate(n.Service.Engine, g.full, n.Pause)
+		out[name] = load
 	}
 	return out
 }
 
+// passOf returns how long a pass of the group takes, and how long a request holds
+// a slot. The lock is held.
+func (d *Directory) passOf(n *Need, g *group) (pass, service time.Duration) {
+	e := n.Service.Engine
+	pass = g.pass
+	if pass == 0 {
+		pass = time.Duration(max(1, e.Stride)) * (e.Step + time.Duration(e.Slots)*e.PerSequence)
+	}
+	return pass, pass * time.Duration(max(1, e.AnswerTokens)) / time.Duration(max(1, e.Stride))
+}
+
 // view makes the routing view of a service. The lock is held.
-func (d *Directory) view(n Need, now time.Time) routing.View {
+func (d *Directory) view(n *Need, now time.Time) routing.View {
 	v := routing.View{ReportPeriod: statusPeriod, MeanTokens: 1, StepTime: plainCall}
-	if n.Service != nil && n.Service.Engine != nil {
+	if n.generates() {
 		e := n.Service.Engine
 		v.MeanTokens = float64(max(1, e.AnswerTokens))
 		v.StepTime = e.Step + time.Duration(e.Slots)*e.PerSequence
 		if e.PrefillPerSecond > 0 {
 			v.PrefillPerToken = time.Duration(float64(time.Second) / e.PrefillPerSecond)
 		}
+		d.measurePasses(e, now)
 	}
 	closed := d.closedGroups(now)
-	running := d.meanRunning()
 	stalled := d.stalledGroups()
 	for id, e := range d.servers {
 		if e.Service != n.Name {
 			continue
 		}
 		c := d.candidate(id, e, closed, now)
-		if status, ok := d.statuses[e.Address]; ok && n.Service != nil && n.Service.Engine != nil {
-			c.Load.Slots = usefulSlots(c.Load.Slots, running[e.Group.Name], status.Pass, n.Pause)
+		if status, ok := d.statuses[e.Address]; ok && n.generates() {
+			c.Load.Slots = usefulSlots(n.Service.Engine, d.group(e.Group.Name).peak.full, n.Pause)
 			if stalled[e.Group.Name] {
 				c.Distance += stallDistance
 			}
@@ -178,6 +280,24 @@
 	return v
 }
 
+// measurePasses takes in how long the passes of each group take. The lock is
+// held.
+func (d *Directory) measurePasses(e *ingress.Engine, now time.Time) {
+	running := d.meanRunning()
+	passes := make(map[string]time.Duration)
+	for _, s := range d.statuses {
+		if s.Up && s.Pass > 0 {
+			passes[s.Group.Name] = max(passes[s.Group.Name], s.Pass)
+		}
+	}
+	for name, pass := range passes {
+		g := d.group(name)
+		g.pass = pass
+		g.full = passAt(e, e.Slots, pass, running[name])
+		g.peak.observe(g.full, now)
+	}
+}
+
 // stalledGroups returns the groups that have work and make no passes: one of
 // their ranks is cut off, dead or very slow. The lock is held.
 func (d *Directory) stalledGroups() map[string]bool {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -114,7 +114,8 @@
 func (x *exchange) pick() (*backends.Choice, error) {
 	need := backends.Need{
 		Service: x.service, Name: x.name, PromptTokens: x.call.PromptTokens,
-		Tried: x.tried, AvoidGroups: x.avoidGroups,
+		AnswerTokens: x.call.LengthHint,
+		Tried:        x.tried, AvoidGroups: x.avoidGroups,
 		Objective: x.route.Objective, Remaining: time.Until(x.deadline),
 		Pause: x.route.PauseObjective, Returned: x.returned, Resumed: x.sends > 0, Processes: x.g.processes(),
 	}
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -36,7 +36,7 @@
 	got := s.call("/again/x", "Id", "load-1")
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assertLogged(t, s.lines("load-1"), "event=refused", "status=503", "code=overloaded", `verdict="not run"`,
-		"13 of 4 slots reported", "retry_after_ms=", "config=1", "organisation=north")
+		"4 and 9 run and wait for 4 slots", "retry_after_ms=", "config=1", "organisation=north")
 }
 
 func TestBrokenStreamIsExplained(t *testing.T) {
--- a/groupmap/plan.go
+++ b/groupmap/plan.go
@@ -26,6 +26,15 @@
 	Copies        int
 }
 
+// Skew is the load of the busiest rank over the mean, as the mean over the sets.
+func Skew(m *Map, load [][]float64, s Shape) float64 {
+	sum := 0.0
+	for i := range s.Sets {
+		sum += newBalance(m.Experts[i], load[i], s).skew() / float64(s.Sets)
+	}
+	return sum
+}
+
 // Plan improves a map for the given load of each expert, by set. It makes the
 // moves that lower the busiest rank of a set most for each copy first.
 func Plan(current *Map, load [][]float64, s Shape, l Limits) Outcome {
--- a/groupmap/switch.go
+++ b/groupmap/switch.go
@@ -58,9 +58,12 @@
 }
 
 const (
-	// holdLead is how many passes ahead a hold is set. Ranks are armed within tens
-	// of milliseconds, about one pass; one more for the pass that begins meanwhile.
+	// holdLead is how many passes ahead a hold is set: one begins while the report
+	// is on its way, one while the hold is, and one while the ranks are armed.
 	holdLead = 3
+	// longPass is a pass in which a hold arrives and all ranks are armed, so that
+	// one pass less is enough.
+	longPass = 60 * time.Millisecond
 	// holder is the rank that the hold is set at. It is one for all attempts, so
 	// that its single hold keeps attempts apart.
 	holder = 0
@@ -118,6 +121,8 @@
 	repairing bool
 	// current is the map in use, as far as it is known.
 	current *Map
+	// pass is how long passes take; zero while that is not known.
+	pass time.Duration
 
 	// withoutHold and withoutUnanimity switch mechanisms off for the proofs.
 	withoutHold, withoutUnanimity bool
@@ -206,6 +211,9 @@
 // Use tells the map that is in use, which a repair goes back to.
 func (s *Switch) Use(m *Map) { s.current = m }
 
+// Passes tells how long passes take.
+func (s *Switch) Passes(each time.Duration) { s.pass = each }
+
 // Start begins to put m in force; its version must come from NextVersion. It
 // reports false if a switch is under way or this Switch may not start one.
 func (s *Switch) Start(m *Map, now time.Time) bool {
@@ -321,7 +329,7 @@
 		last = max(last, r.Step)
 	}
 	if s.holdStep <= last {
-		s.holdStep = last + holdLead
+		s.holdStep = last + s.lead()
 	}
 	if s.withoutHold {
 		return s.armAll(now, s.target.Version, s.holdStep)
@@ -329,6 +337,14 @@
 	return s.order(now, nil, Order{Rank: holder, Kind: Hold, Step: s.holdStep})
 }
 
+// lead is how many passes ahead a hold is set.
+func (s *Switch) lead() uint64 {
+	if s.pass >= longPass {
+		return holdLead - 1
+	}
+	return holdLead
+}
+
 // armAll arms every rank that is not armed yet.
 func (s *Switch) armAll(now time.Time, version, step uint64) []Order {
 	var out []Order
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -19,6 +19,10 @@
 	// reportPeriod is the time between two reads of the own server, which are
 	// free.
 	reportPeriod = 100 * time.Millisecond
+	// hurriedPeriod replaces it for hurriedSpan after an order: the group waits
+	// for the last rank at each step of a switch.
+	hurriedPeriod = 35 * time.Millisecond
+	hurriedSpan   = 600 * time.Millisecond
 	// statusPeriod is the time between two statuses without a change.
 	statusPeriod = 200 * time.Millisecond
 	// statusPeriodPerPeer lengthens it where there are many peers to tell.
@@ -69,7 +73,10 @@
 	up       bool
 	passes   passMeter
 	told     time.Time
-	lead     leader
+	// looked is when the server was read last in its turn, ordered when it last
+	// got an order.
+	looked, ordered time.Time
+	lead            leader
 	// counted is what the own rank had chosen at the last look.
 	counted Counts
 	held    Held
@@ -94,7 +101,7 @@
 	a.log.Info().Str("event", "started").Str("server", a.options.Server).Msg("")
 	go every(ctx, countsPeriod, a.count)
 	go a.leadLoop(ctx)
-	every(ctx, reportPeriod, func(ctx context.Context) { a.observe(ctx, false) })
+	every(ctx, hurriedPeriod, a.look)
 	a.log.Info().Str("event", "stopped").Msg("")
 }
 
@@ -128,6 +135,21 @@
 	}
 }
 
+// look reads the server when it is due.
+func (a *Agent) look(ctx context.Context) {
+	now := time.Now()
+	a.mu.Lock()
+	hurried := now.Sub(a.ordered) < hurriedSpan
+	due := hurried || now.Sub(a.looked) >= reportPeriod-hurriedPeriod/2
+	if due {
+		a.looked = now
+	}
+	a.mu.Unlock()
+	if due {
+		a.observe(ctx, false)
+	}
+}
+
 // observe reads the server and tells the gateways and the group how it stands:
 // at once after a change or when asked to, now and then without.
 func (a *Agent) observe(ctx context.Context, tell bool) {
@@ -340,6 +362,9 @@
 	}
 	line.Msg("")
 	if engine == a.engine {
+		a.mu.Lock()
+		a.ordered = time.Now()
+		a.mu.Unlock()
 		a.observe(ctx, true)
 	}
 }
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -31,7 +31,7 @@
 	// not overrun the link of a small instance.
 	burstBytes = 24 << 10
 	// leastGain is by how much a plan must lower the busiest rank over the mean.
-	leastGain = 0.08
+	leastGain = 0.15
 )
 
 const (
@@ -81,11 +81,12 @@
 	engine     *ingress.Engine
 	// busy is how many requests run and wait at each rank.
 	busy map[int]int
-	// inUse is the map that the group uses, as far as it is known here.
-	inUse    *groupmap.Map
-	planned  time.Time
-	switched time.Time
-	reading  bool
+	// inUse is the map that the group uses, as far as it is known here, and started
+	// the last that a switch was started to.
+	inUse, started *groupmap.Map
+	planned        time.Time
+	switched       time.Time
+	reading        bool
 }
 
 // observe takes the state of a rank in; from is empty for the own one.
@@ -113,6 +114,7 @@
 	l.sequences = make(map[int]uint64)
 	l.far = make(map[int]time.Time)
 	l.busy = make(map[int]int)
+	l.started = nil
 	l.machine = groupmap.NewSwitch(g.Size, g.Rank == holderRank, groupmap.SwitchTiming{})
 }
 
@@ -292,9 +294,12 @@
 	}
 	l.planned = now
 	version, epoch := l.machine.Version()
-	load := l.popularity.loads()
-	current := l.popularity.current(version, now, popularityFresh)
-	if load == nil || current == nil || l.popularity.epoch != epoch || current.Validate(l.shape) != nil {
+	current := l.current(version, now)
+	if current == nil || l.popularity.epoch != epoch || current.Validate(l.shape) != nil || !l.popularity.covers(l.shape) {
+		return
+	}
+	load := l.popularity.loads(current, l.shape)
+	if load == nil {
 		return
 	}
 	l.machine.Use(current)
@@ -305,7 +310,9 @@
 		return
 	}
 	out.Map.Version = l.machine.NextVersion(uint64(l.agent.options.Uptime().Milliseconds()))
+	l.machine.Passes(l.agent.passes.mean)
 	if l.machine.Start(out.Map, now) {
+		l.started = out.Map
 		l.agent.meters.switches.Inc()
 		l.agent.log.Info().Str("event", "map_planned").Str("group", l.group.Name).Uint64("epoch", epoch).
 			Uint64("version", out.Map.Version).Int("copies", out.Copies).
@@ -314,6 +321,15 @@
 	}
 }
 
+// current returns the map in use: the one that was started last, or what the
+// ranks say that they hold; nil while that is not known.
+func (l *leader) current(version uint64, now time.Time) *groupmap.Map {
+	if l.started != nil && l.started.Version == version {
+		return l.started
+	}
+	return l.popularity.current(version, now, popularityFresh)
+}
+
 // allHeard says that all ranks have told lately how they stand.
 func (l *leader) allHeard(now time.Time) bool {
 	for rank := range l.group.Size {
