Some gateways of a zone read the store for the others

Changed: the first four gateways of a zone by ID read the store; the others ask one of them twice a second, and read the store themselves when no reader has a proof younger than 1.9 s. A proof is as old as the reader says plus the time from the question on, as between peers before. An answer of the store that a peer overtook is dropped. A reply is put together under one lock, the age of the proof read first: it could have been younger than the configuration that it came with. Ruled out: longer watches (proofs would be older when the store goes away); datagrams that push proofs (one that lay in the buffer of a stopped process would look young). Tests: TestReadersSpareTheSource, TestGatewayReadsTheSourceWhenItsReadersCannot, TestAnswerThatAPeerOvertookIsDropped, TestFirstGatewaysOfAZoneRead. On sites with up to four gateways in a zone nothing changes.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -43,26 +43,39 @@
 	source    Source
 	directory *backends.Directory
 	log       *log.Logger
-	// peers returns the addresses of other gateways, IP:port.
-	peers func() []string
-	table atomic.Pointer[ingress.Table]
+	peers     Peers
+	table     atomic.Pointer[ingress.Table]
 	// proven is the boot time at which the question was sent whose answer
 	// proved the configuration to be the newest; 0 means never.
 	proven atomic.Int64
 	calls  atomic.Int64
 	failed atomic.Int64
 
-	mu sync.Mutex
-	// revision of the source that the table and the directory are of.
+	// state is held while what was read is taken in, so that the table, the
+	// directory and the revision belong together.
+	state sync.Mutex
+	// revision of the source that the table and the directory are of; 0 to read
+	// everything.
 	revision int64
+
+	mu sync.Mutex
+	// relying says that gateways of the zone read the source for this one.
+	relying bool
 	// lastFailure is when a question failed last.
 	lastFailure time.Time
 	lost        bool
 }
 
-// NewFollower returns a Follower that has read nothing yet. peers returns the
-// addresses of other gateways, which are asked while the source does not answer.
-func NewFollower(source Source, directory *backends.Directory, peers func() []string, logger *log.Logger) *Follower {
+// Peers are the other gateways, by the addresses at which they answer, IP:port.
+type Peers struct {
+	// All are asked while the source does not answer.
+	All func() []string
+	// Readers read the source for this gateway; none if it does so itself.
+	Readers func() []string
+}
+
+// NewFollower returns a Follower that has read nothing yet.
+func NewFollower(source Source, directory *backends.Directory, peers Peers, logger *log.Logger) *Follower {
 	return &Follower{source: source, directory: directory, peers: peers, log: logger}
 }
 
@@ -79,37 +92,48 @@
 // Calls returns how many questions were sent and how many of them failed.
 func (f *Follower) Calls() (sent, failed int64) { return f.calls.Load(), f.failed.Load() }
 
-// Run follows the source until ctx ends.
+// Run follows the source, or gateways that do, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
 	go f.followPeers(ctx)
-	var revision int64
 	retry := minRetry
 	for ctx.Err() == nil {
-		next, err := f.ask(ctx, revision)
-		if err == nil {
-			changed := next != revision
-			revision, retry = next, minRetry
-			f.regained(revision)
+		if f.rely(ctx) {
+			pause(ctx, relyPeriod)
+			continue
+		}
+		changed, err := f.ask(ctx)
+		switch {
+		case err == nil:
+			retry = minRetry
+			f.regained()
 			if changed {
 				pause(ctx, changePause)
 			}
-			continue
-		}
-		if errors.Is(err, ErrHistoryGone) {
-			f.log.Info().Str("event", "history_gone").Int64("after", revision).Msg("")
-			revision = 0
-			continue
-		}
-		if ctx.Err() != nil {
-			return
+		case errors.Is(err, ErrHistoryGone):
+			f.forget()
+		case ctx.Err() == nil:
+			f.unreachable(err)
+			pause(ctx, retry)
+			retry = min(2*retry, maxRetry)
 		}
-		f.unreachable(err)
-		pause(ctx, retry)
-		retry = min(2*retry, maxRetry)
 	}
 }
 
+// forget lets the next question read everything.
+func (f *Follower) forget() {
+	f.state.Lock()
+	defer f.state.Unlock()
+	f.log.Info().Str("event", "history_gone").Int64("after", f.revision).Msg("")
+	f.revision = 0
+}
+
+func (f *Follower) knownRevision() int64 {
+	f.state.Lock()
+	defer f.state.Unlock()
+	return f.revision
+}
+
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -118,33 +142,44 @@
 	}
 }
 
-// ask puts one question and takes its answer in. It returns the revision to go
-// on from.
-func (f *Follower) ask(ctx context.Context, revision int64) (int64, error) {
+// ask puts one question and takes its answer in, unless a peer told something
+// newer meanwhile. It reports whether anything changed.
+func (f *Follower) ask(ctx context.Context) (changed bool, err error) {
 	wait := watchWait
 	if age, ok := f.Age(); ok && age > hurryAge {
 		wait = hurriedWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
+	after := f.knownRevision()
 	sent := clock.Boot()
 	f.calls.Add(1)
-	if revision == 0 {
+	if after == 0 {
 		published, err := f.source.Read(ctx)
 		if err != nil {
-			return 0, err
+			return false, err
 		}
-		f.replace(published)
-		f.prove(sent)
-		return published.Revision, nil
+		f.takeIn(after, published.Revision, sent, func() { f.replace(published) })
+		return true, nil
 	}
-	changes, err := f.source.Watch(ctx, revision, wait)
+	changes, err := f.source.Watch(ctx, after, wait)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
-	f.apply(changes)
+	f.takeIn(after, changes.Revision, sent, func() { f.apply(changes) })
+	return changes.Revision != after, nil
+}
+
+// takeIn takes in what the source answered to a question after a revision.
+func (f *Follower) takeIn(after, revision int64, sent time.Duration, take func()) {
+	f.state.Lock()
+	defer f.state.Unlock()
+	if f.revision != after {
+		return
+	}
+	take()
+	f.revision = revision
 	f.prove(sent)
-	return changes.Revision, nil
 }
 
 // prove notes that the table was the newest configuration at a boot time.
@@ -226,10 +261,9 @@
 	f.log.Warn().Str("event", "source_lost").Str("cause", err.Error()).Msg("")
 }
 
-func (f *Follower) regained(revision int64) {
+func (f *Follower) regained() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = revision
 	if !f.lost {
 		return
 	}
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -75,7 +75,10 @@
 func follow(t *testing.T, s Source, peers ...string) *Follower {
 	t.Helper()
 	logger := logging.New(io.Discard, "error")
-	f := NewFollower(s, backends.NewDirectory("z", 1), func() []string { return peers }, logger)
+	f := NewFollower(s, backends.NewDirectory("z", 1), Peers{
+		All:     func() []string { return peers },
+		Readers: func() []string { return nil },
+	}, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
@@ -181,3 +184,77 @@
 	ours, ok := turnedAway.Age()
 	assert.Assert(t, ok && ours >= theirs-10*time.Millisecond, "the proof is %v old at the peer, %v here", theirs, ours)
 }
+
+// gatewaysOfZone starts a gateway that reads the source, and one that relies on it.
+func gatewaysOfZone(t *testing.T, theirs, own Source) (reader, relying *Follower) {
+	t.Helper()
+	reader = follow(t, theirs)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = reader.ServePeers(ctx, l) }()
+	addresses := func() []string { return []string{l.Addr().String()} }
+	relying = NewFollower(own, backends.NewDirectory("z", 2), Peers{All: addresses, Readers: addresses}, logging.New(io.Discard, "error"))
+	return reader, relying
+}
+
+// Each call of the source is priced: where a gateway of the zone reads it, the
+// others ask that gateway, also for what changes.
+func TestReadersSpareTheSource(t *testing.T) {
+	server := backends.Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1}
+	s := &fakeSource{published: Published{Config: config(7), Servers: []backends.Server{server}, Revision: 10}}
+	reader, relying := gatewaysOfZone(t, s, s)
+	poll.WaitOn(t, version(reader, 7))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go relying.Run(ctx)
+	poll.WaitOn(t, version(relying, 7))
+	server.Draining = true
+	s.set(func(s *fakeSource) {
+		s.published = Published{Config: config(9), Servers: []backends.Server{server}, Revision: 12}
+	})
+	poll.WaitOn(t, version(relying, 9), poll.WithTimeout(2*time.Second))
+	assert.Assert(t, relying.directory.Published()[0].Draining)
+	sent, _ := relying.Calls()
+	assert.Equal(t, sent, int64(0))
+	theirs, _ := reader.Age()
+	ours, ok := relying.Age()
+	assert.Assert(t, ok && ours >= theirs-10*time.Millisecond, "%v at the reader, %v here", theirs, ours)
+}
+
+func TestGatewayReadsTheSourceWhenItsReadersCannot(t *testing.T) {
+	theirs := &fakeSource{published: Published{Config: config(7), Revision: 10}}
+	own := &fakeSource{published: Published{Config: config(7), Revision: 10}}
+	reader, relying := gatewaysOfZone(t, theirs, own)
+	poll.WaitOn(t, version(reader, 7))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go relying.Run(ctx)
+	poll.WaitOn(t, version(relying, 7))
+	theirs.set(func(s *fakeSource) { s.down = true })
+	own.set(func(s *fakeSource) { s.published.Config, s.published.Revision = config(9), 11 })
+	poll.WaitOn(t, version(relying, 9), poll.WithTimeout(relyAge+2*time.Second))
+	age, _ := relying.Age()
+	assert.Assert(t, age < relyAge, "%v", age)
+}
+
+// What a peer told is newer than the answer to a question that was asked before.
+func TestAnswerThatAPeerOvertookIsDropped(t *testing.T) {
+	f := NewFollower(&fakeSource{}, backends.NewDirectory("z", 1), Peers{}, logging.New(io.Discard, "error"))
+	f.takeIn(0, 10, time.Second, func() { f.takeConfig(config(7)) })
+	f.revision = 20
+	f.takeIn(10, 15, 2*time.Second, func() { t.Error("taken in") })
+	assert.Equal(t, f.knownRevision(), int64(20))
+	assert.Equal(t, f.proven.Load(), int64(time.Second))
+}
+
+func TestFirstGatewaysOfAZoneRead(t *testing.T) {
+	var others []Gateway
+	for _, id := range []string{"f", "b", "d", "c", "a"} {
+		others = append(others, Gateway{ID: id, Address: "at-" + id})
+	}
+	assert.DeepEqual(t, Readers("e", others), []string{"at-a", "at-b", "at-c", "at-d"})
+	assert.Equal(t, len(Readers("aa", others)), 0)
+	assert.Equal(t, len(Readers("only", nil)), 0)
+}
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -47,11 +47,12 @@
 
 // Published answers a peer with what is in force here and how fresh it is.
 func (f *Follower) Published(_ context.Context, q *discoverypb.Question) (*discoverypb.Reply, error) {
-	f.mu.Lock()
-	revision := f.revision
-	f.mu.Unlock()
-	table := f.table.Load()
+	// The proof is looked at first: it must not be younger than what it is of.
 	age, ok := f.Age()
+	f.state.Lock()
+	table, revision := f.table.Load(), f.revision
+	servers := f.directory.Published()
+	f.state.Unlock()
 	if table == nil || !ok || age > maxPeerAge {
 		return nil, errNothing
 	}
@@ -62,7 +63,9 @@
 			return nil, err
 		}
 	}
-	reply.Servers, err = encode(f.directory.Published())
+	if q.KnownRevision != revision {
+		reply.Servers, err = encode(servers)
+	}
 	return reply, err
 }
 
@@ -79,7 +82,7 @@
 		if age, ok := f.Age(); ok && age < peerAge {
 			continue
 		}
-		addresses := f.peers()
+		addresses := f.peers.All()
 		if len(addresses) == 0 {
 			continue
 		}
@@ -95,9 +98,9 @@
 func (f *Follower) askPeer(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	known := int64(0)
+	question := &discoverypb.Question{KnownRevision: f.knownRevision()}
 	if t := f.table.Load(); t != nil {
-		known = t.Version()
+		question.KnownVersion = t.Version()
 	}
 	sent := clock.Boot()
 	raw, err := nettimeout.Dialer(peerTimeout, peerTimeout).DialContext(ctx, "tcp", address)
@@ -106,7 +109,7 @@
 	}
 	conn := drpcconn.New(raw)
 	defer func() { _ = conn.Close() }() // The answer is here, or an error is.
-	reply, err := discoverypb.NewDRPCGatewaysClient(conn).Published(ctx, &discoverypb.Question{KnownVersion: known})
+	reply, err := discoverypb.NewDRPCGatewaysClient(conn).Published(ctx, question)
 	if err != nil {
 		return fmt.Errorf("discovery: peer: %w", err)
 	}
@@ -114,6 +117,8 @@
 }
 
 func (f *Follower) takeReply(reply *discoverypb.Reply, sent time.Duration, peer string) error {
+	f.state.Lock()
+	defer f.state.Unlock()
 	if len(reply.Config) > 0 {
 		config := &ingress.Config{}
 		if err := decode(reply.Config, config); err != nil {
@@ -125,26 +130,34 @@
 	if table == nil || table.Version() != reply.Version {
 		return nil // The peer is behind, or its configuration is refused here.
 	}
-	proven := sent - time.Duration(reply.AgeUs)*time.Microsecond
-	if int64(proven) <= f.proven.Load() {
+	if err := f.takeServers(reply); err != nil {
+		return err
+	}
+	f.prove(sent - time.Duration(reply.AgeUs)*time.Microsecond)
+	f.mu.Lock()
+	line := f.log.Debug()
+	if f.lost {
+		line = f.log.Info()
+	}
+	f.mu.Unlock()
+	line.Str("event", "proof_of_peer").Str("peer", peer).Int64("version", reply.Version).
+		Int64("age_ms", reply.AgeUs/1000).Msg("")
+	return nil
+}
+
+// takeServers takes a peer's servers in if they are newer. The state is locked.
+func (f *Follower) takeServers(reply *discoverypb.Reply) error {
+	if reply.Revision <= f.revision || len(reply.Servers) == 0 {
 		return nil
 	}
 	var servers []backends.Server
 	if err := decode(reply.Servers, &servers); err != nil {
 		return err
 	}
-	f.mu.Lock()
-	newer := reply.Revision > f.revision
-	f.mu.Unlock()
-	if newer {
-		now := time.Now()
-		for _, id := range f.directory.Replace(servers, 0, now) {
-			f.logServer(id, "missing at a peer")
-		}
+	for _, id := range f.directory.Replace(servers, 0, time.Now()) {
+		f.logServer(id, "missing at a peer")
 	}
-	f.prove(proven)
-	f.log.Info().Str("event", "proof_of_peer").Str("peer", peer).Int64("version", reply.Version).
-		Int64("age_ms", (clock.Boot() - proven).Milliseconds()).Msg("")
+	f.revision = reply.Revision
 	return nil
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -195,7 +195,10 @@
 	}
 	logger := logging.NewBounded(&s.logged, "info").Logger
 	directory := backends.NewDirectory("z", 1)
-	follower := discovery.NewFollower(s.source, directory, func() []string { return nil }, logger)
+	follower := discovery.NewFollower(s.source, directory, discovery.Peers{
+		All:     func() []string { return nil },
+		Readers: func() []string { return nil },
+	}, logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
 	go follower.Run(ctx)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	source := platform.NewSource(platform.NewStore(settings.Store), logger.Logger)
-	follower := discovery.NewFollower(source, directory, gatewayAddresses(peers), logger.Logger)
+	follower := discovery.NewFollower(source, directory, gatewayPeers(peers, settings), logger.Logger)
 	forPeers, err := net.Listen("tcp", settings.Mesh)
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
@@ -110,9 +110,9 @@
 	return g.Serve(ctx)
 }
 
-// gatewayAddresses returns where other gateways are asked for what is published.
-func gatewayAddresses(node *mesh.Node) func() []string {
-	return func() []string {
+// gatewayPeers returns where other gateways are asked for what is published.
+func gatewayPeers(node *mesh.Node, settings *config.Node) discovery.Peers {
+	all := func() []string {
 		peers := node.Peers(mesh.Gateway)
 		out := make([]string, 0, len(peers))
 		for _, p := range peers {
@@ -120,6 +120,16 @@
 		}
 		return out
 	}
+	readers := func() []string {
+		var zone []discovery.Gateway
+		for _, p := range node.Peers(mesh.Gateway) {
+			if p.Zone == settings.Zone {
+				zone = append(zone, discovery.Gateway{ID: p.ID, Address: p.Address})
+			}
+		}
+		return discovery.Readers(settings.Name, zone)
+	}
+	return discovery.Peers{All: all, Readers: readers}
 }
 
 func boundsOf(s *config.Node) gateway.Bounds {
