Requests that can be on time go before those that came back

Cause: under load a request that came back after a refusal, late wherever it goes, waited up to 0.7 s in the same queue as new ones and made those late as well. With more requests than fit, each slot that a late one takes is worth half. Ruled out: a queue of returned requests before new ones (it makes both late: what is refused comes back once, so the load stays).

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,6 +69,8 @@
 		}
 		return verdict.Refuse(verdict.NoRoute, verdict.NotRun, "no route leads from here")
 	}
+	x.returned = x.call.Remaining > 0 && x.call.Remaining < x.route.Timeout-returnedSlack
+	priority := x.route.Priority
 	if table.Keyed() && !x.route.Public {
 		if !fresh {
 			return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").After(g.staleRetry())
@@ -78,16 +80,13 @@
 			return verdict.Refuse(verdict.Unauthenticated, verdict.NotRun, "the key is not known")
 		}
 		x.organisation, x.keyed = organisation.Name, true
-		x.urgency = urgency(organisation.Priority)
-		if !organisation.HasPriority {
-			x.urgency = urgency(x.route.Priority)
+		if organisation.HasPriority {
+			priority = organisation.Priority
 		}
-	} else {
-		x.urgency = urgency(x.route.Priority)
 	}
+	x.urgency = urgency(priority, x.returned)
 	x.name = x.route.Choose(rand.Float64())
 	x.service = table.Service(x.name)
-	x.returned = x.call.Remaining > 0 && x.call.Remaining < x.route.Timeout-returnedSlack
 	x.deadline = deadline(x.arrived, x.route, x.call.Remaining)
 	last, err := strconv.ParseUint(x.call.LastEvent, 10, 64)
 	if err == nil {
@@ -108,8 +107,16 @@
 	return arrived.Add(max(bound-deadlineMargin, deadlineMargin))
 }
 
-// urgency turns a priority of operators, 0 first, into that of servers.
-func urgency(priority int) int { return min(max(priority, 0), maxUrgency) }
+// urgency turns a priority of operators, 0 first, into that of servers. Among
+// equals, a request that was refused before goes after those that can still be on
+// time.
+func urgency(priority int, returned bool) int {
+	rank := 2 * max(priority, 0)
+	if returned {
+		rank++
+	}
+	return min(rank, maxUrgency)
+}
 
 func (g *Gateway) readBody(r *http.Request) ([]byte, *verdict.Error) {
 	limit := int64(defaultMaxBody)
