--- a/soak/rig.go
+++ b/soak/rig.go
@@ -29,6 +29,13 @@
 	}
 }
 
+// Large returns the size of runs at the limits of one machine, some 150 processes.
+func Large() Size {
+	return Size{
+		Gateways: 20, Groups: 4, Ranks: 32, Plain: 6, Callers: 60, Faults: 30, Trouble: 15 * time.Second, Calm: 10 * time.Second,
+	}
+}
+
 // The services, and what is asked of them.
 const (
 	poolService = "pool"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,7 +20,8 @@
 var shortRun = []uint64{1, 2}
 
 // TestFaults plays BBW_FAULT_SEEDS, such as 1-50, and else the short run and all
-// seeds that failed once. BBW_FAULT_LOGS keeps the logs of failing seeds.
+// seeds that failed once. BBW_FAULT_LOGS keeps the logs of failing seeds, and
+// BBW_FAULT_SIZE=large plays runs at the limits of one machine.
 func TestFaults(t *testing.T) {
 	daemon := filepath.Join(t.TempDir(), "bluebellwindd")
 	out, err := exec.Command("go", "build", "-o", daemon, "bluebellwind.example/cmd/bluebellwindd").CombinedOutput()
@@ -29,7 +30,7 @@
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			dir := logDir(t, seed)
-			report, err := Run(context.Background(), daemon, dir, seed, run, Usual())
+			report, err := Run(context.Background(), daemon, dir, seed, run, size())
 			assert.NilError(t, err)
 			t.Logf("%d requests, %d served, %d maps", report.Requests, report.Served, report.Switches)
 			if len(report.Broken) > 0 {
@@ -40,6 +41,13 @@
 	}
 }
 
+func size() Size {
+	if os.Getenv("BBW_FAULT_SIZE") == "large" {
+		return Large()
+	}
+	return Usual()
+}
+
 func seeds(t *testing.T) []uint64 {
 	text := os.Getenv("BBW_FAULT_SEEDS")
 	if text == "" {
