--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -63,7 +63,7 @@
 		},
 		"revoked keys stay out": func(l *ledger) {
 			l.revoked["gone"] = start
-			add(l, "x", payPath, 6*time.Second, func(a *attempt) { a.Key = "gone" })
+			add(l, "x", payPath, bounds.RevokeBound()+time.Second, func(a *attempt) { a.Key = "gone" })
 		},
 		"configurations come in time and never go back": func(l *ledger) {
 			l.versions = []version{
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -60,7 +60,7 @@
 		f := platformtest.ServerFault{Cut: 0.05 * rng.Float64(), Slow: 1 + 2*rng.Float64(), Late: 0.5 * rng.Float64()}
 		return func() func() { s.SetFault(f); return func() { s.SetFault(platformtest.ServerFault{}) } }
 	}},
-	{"orders to a group late", func(r *rig, rng *rand.Rand) func() func() { return r.lateOrders(rng.Float64()) }},
+	{"orders to a group late", func(r *rig, rng *rand.Rand) func() func() { return r.lateOrders(0.1 + 0.3*rng.Float64()) }},
 	{"plain server misbehaves", func(r *rig, rng *rand.Rand) func() func() {
 		s := r.plain[rng.IntN(len(r.plain))]
 		f := platformtest.ServerFault{
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -63,8 +63,9 @@
 	plainSlots      = 6
 )
 
-// bounds are the promises that the gateways are told.
-var bounds = config.Bounds{RevokeMS: 5000, RetryRatio: 0.2, RetryFree: 30, RetryWindowS: 10, GraceS: 5}
+// bounds are the promises that the gateways are told. Stores are away for longer
+// than keys may be revoked without effect.
+var bounds = config.Bounds{RevokeMS: 2500, RetryRatio: 0.2, RetryFree: 30, RetryWindowS: 10, GraceS: 5}
 
 var shape = platformtest.Shape{
 	Sets: 2, Experts: 8, Places: 5, Slots: 6, Events: 10,
