--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,62 +22,68 @@
 // kind makes faults of one kind. It draws their targets.
 type kind struct {
 	name string
-	make func(r *rig, rng *rand.Rand) func() (end func())
+	// least is how long it lasts at least.
+	least time.Duration
+	make  func(r *rig, rng *rand.Rand) func() (end func())
 }
 
 var kinds = []kind{
-	{"gateway killed", func(r *rig, rng *rand.Rand) func() func() { return r.killed(r.anyGateway(rng)) }},
-	{"gateway stopped and continued", func(r *rig, rng *rand.Rand) func() func() { return r.frozen(r.anyGateway(rng)) }},
-	{"gateway terminated", func(r *rig, rng *rand.Rand) func() func() { return r.terminated(r.anyGateway(rng)) }},
-	{"gateways terminated in turn", func(r *rig, _ *rand.Rand) func() func() { return r.rolled() }},
-	{"settings read again", func(r *rig, rng *rand.Rand) func() func() { return r.hangup(r.anyGateway(rng)) }},
-	{"agent killed", func(r *rig, rng *rand.Rand) func() func() { return r.agentKilled(rng.IntN(len(r.agents))) }},
-	{"agent of rank 0 killed", func(r *rig, _ *rand.Rand) func() func() { return r.agentKilled(0) }},
-	{"agent stopped and continued", func(r *rig, rng *rand.Rand) func() func() { return r.agentFrozen(rng.IntN(len(r.agents))) }},
-	{"link to the store", func(r *rig, rng *rand.Rand) func() func() {
+	{"gateway killed", 0, func(r *rig, rng *rand.Rand) func() func() { return r.killed(r.anyGateway(rng)) }},
+	{"gateway stopped and continued", 0, func(r *rig, rng *rand.Rand) func() func() { return r.frozen(r.anyGateway(rng)) }},
+	{"gateway terminated", 0, func(r *rig, rng *rand.Rand) func() func() { return r.terminated(r.anyGateway(rng)) }},
+	{"gateways terminated in turn", 0, func(r *rig, _ *rand.Rand) func() func() { return r.rolled() }},
+	{"settings read again", 0, func(r *rig, rng *rand.Rand) func() func() { return r.hangup(r.anyGateway(rng)) }},
+	{"agent killed", 0, func(r *rig, rng *rand.Rand) func() func() { return r.agentKilled(rng.IntN(len(r.agents))) }},
+	{"agent of rank 0 killed", 0, func(r *rig, _ *rand.Rand) func() func() { return r.agentKilled(0) }},
+	{"agent stopped and continued", 0, func(r *rig, rng *rand.Rand) func() func() { return r.agentFrozen(rng.IntN(len(r.agents))) }},
+	{"link to the store", 0, func(r *rig, rng *rand.Rand) func() func() {
 		return r.storeLinked(r.anyGateway(rng), anyMode(rng))
 	}},
-	{"store refuses some", func(r *rig, rng *rand.Rand) func() func() {
+	{"store refuses some", 0, func(r *rig, rng *rand.Rand) func() func() {
 		return r.storeFaulty(r.gateways[:1+rng.IntN(len(r.gateways))], anyStoreFault(rng))
 	}},
-	{"store away", func(r *rig, rng *rand.Rand) func() func() { return r.storeFaulty(r.gateways, anyStoreFault(rng)) }},
-	{"store forgets", func(r *rig, _ *rand.Rand) func() func() { return r.forgets }},
-	{"entries without sense", func(r *rig, rng *rand.Rand) func() func() {
+	{"store away", 0, func(r *rig, rng *rand.Rand) func() func() { return r.storeFaulty(r.gateways, anyStoreFault(rng)) }},
+	{"key revoked as the store goes away", bounds.RevokeBound() + time.Second, func(r *rig, rng *rand.Rand) func() func() {
+		away := r.storeFaulty(r.gateways, anyStoreFault(rng))
+		return func() func() { end := away(); r.revokeKey(); return end }
+	}},
+	{"store forgets", 0, func(r *rig, _ *rand.Rand) func() func() { return r.forgets }},
+	{"entries without sense", 0, func(r *rig, rng *rand.Rand) func() func() {
 		id := fmt.Sprintf("odd-%d", rng.IntN(100))
 		return func() func() { r.store.PutGarbage(id); return func() { r.store.RemoveServer(id) } }
 	}},
-	{"link to a rank", func(r *rig, rng *rand.Rand) func() func() {
+	{"link to a rank", 0, func(r *rig, rng *rand.Rand) func() func() {
 		s := r.ranks[rng.IntN(len(r.ranks))]
 		return r.linked(s.ID, s.link, anyMode(rng))
 	}},
-	{"link to a plain server", func(r *rig, rng *rand.Rand) func() func() {
+	{"link to a plain server", 0, func(r *rig, rng *rand.Rand) func() func() {
 		s := r.plain[rng.IntN(len(r.plain))]
 		return r.linked(s.ID, s.link, anyMode(rng))
 	}},
-	{"rank crashed", func(r *rig, rng *rand.Rand) func() func() { return r.crashed(r.ranks[rng.IntN(len(r.ranks))]) }},
-	{"rank misbehaves", func(r *rig, rng *rand.Rand) func() func() {
+	{"rank crashed", 0, func(r *rig, rng *rand.Rand) func() func() { return r.crashed(r.ranks[rng.IntN(len(r.ranks))]) }},
+	{"rank misbehaves", 0, func(r *rig, rng *rand.Rand) func() func() {
 		s := r.ranks[rng.IntN(len(r.ranks))]
 		f := platformtest.ServerFault{Cut: 0.05 * rng.Float64(), Slow: 1 + 2*rng.Float64(), Late: 0.5 * rng.Float64()}
 		return func() func() { s.SetFault(f); return func() { s.SetFault(platformtest.ServerFault{}) } }
 	}},
-	{"orders to a group late", func(r *rig, rng *rand.Rand) func() func() { return r.lateOrders(0.1 + 0.3*rng.Float64()) }},
-	{"plain server misbehaves", func(r *rig, rng *rand.Rand) func() func() {
+	{"orders to a group late", 0, func(r *rig, rng *rand.Rand) func() func() { return r.lateOrders(0.1 + 0.3*rng.Float64()) }},
+	{"plain server misbehaves", 0, func(r *rig, rng *rand.Rand) func() func() {
 		s := r.plain[rng.IntN(len(r.plain))]
 		f := platformtest.ServerFault{
 			Lost: 0.2 * rng.Float64(), Cut: 0.2 * rng.Float64(), Errors: 0.3 * rng.Float64(), Slow: 1 + 10*rng.Float64(),
 		}
 		return func() func() { s.SetFault(f); return func() { s.SetFault(platformtest.ServerFault{}) } }
 	}},
-	{"server leaves", func(r *rig, _ *rand.Rand) func() func() { return r.leaves }},
-	{"experts in demand change", func(r *rig, rng *rand.Rand) func() func() {
+	{"server leaves", 0, func(r *rig, _ *rand.Rand) func() func() { return r.leaves }},
+	{"experts in demand change", 0, func(r *rig, rng *rand.Rand) func() func() {
 		g := r.groups[rng.IntN(len(r.groups))]
 		return func() func() { g.Shift(); return g.Shift }
 	}},
-	{"configuration changes", func(r *rig, _ *rand.Rand) func() func() {
+	{"configuration changes", 0, func(r *rig, _ *rand.Rand) func() func() {
 		return func() func() { r.changeConfig(); return func() {} }
 	}},
-	{"configurations in quick succession", func(r *rig, _ *rand.Rand) func() func() { return r.configStorm }},
-	{"key revoked", func(r *rig, _ *rand.Rand) func() func() {
+	{"configurations in quick succession", 0, func(r *rig, _ *rand.Rand) func() func() { return r.configStorm }},
+	{"key revoked", 0, func(r *rig, _ *rand.Rand) func() func() {
 		return func() func() { r.revokeKey(); return func() {} }
 	}},
 }
@@ -92,7 +98,7 @@
 	var out []fault
 	for range r.size.Faults {
 		k := kinds[rng.IntN(len(kinds))]
-		lasts := minFault + time.Duration(rng.Int64N(int64(faultSpread)))
+		lasts := max(k.least, minFault+time.Duration(rng.Int64N(int64(faultSpread))))
 		at := time.Duration(rng.Int64N(int64(r.size.Trouble)))
 		out = append(out, fault{
 			name: k.name, at: at, lasts: min(lasts, r.size.Trouble-at), begin: k.make(r, rng),
