--- a/groupmap/switch_test.go
+++ b/groupmap/switch_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,6 +17,8 @@
 	// to come free: longer than the latest order.
 	faultTicks = 2000
 	calmTicks  = 1600
+	// longPasses are those that leave time to arm all ranks within one.
+	longPasses = 100 * time.Millisecond
 	// schedules is how many are drawn in each run of the tests.
 	schedules = 400
 )
@@ -39,8 +42,12 @@
 	for seed := range uint64(n) {
 		seeds = append(seeds, seed)
 	}
-	for _, seed := range seeds {
-		w := newEngineWorld(seed)
+	for i, seed := range append(seeds, seeds...) {
+		told := time.Duration(0)
+		if i >= len(seeds) {
+			told = longPasses // Holds are set one pass nearer.
+		}
+		w := newEngineWorld(seed, told)
 		for w.tick < faultTicks+calmTicks && w.violation == "" {
 			w.step()
 		}
@@ -57,7 +64,7 @@
 
 // A switch in calm weather is in force after a few passes and never holds one.
 func TestCalmSwitchHoldsNoPass(t *testing.T) {
-	w := newEngineWorld(1)
+	w := newEngineWorld(1, 0)
 	w.lossy = 0
 	next := w.draw()
 	next.Version = 7
--- a/groupmap/world_test.go
+++ b/groupmap/world_test.go
@@ -56,6 +56,8 @@
 	violation string
 	life      int
 	without   string
+	// told is how long passes take as the leaders are told; zero for not at all.
+	told time.Duration
 }
 
 type leaderSim struct {
@@ -75,8 +77,8 @@
 
 var worldShape = groupmap.Shape{Sets: 2, Ranks: worldRanks, Experts: 8, Places: 4, Spare: 2}
 
-func newEngineWorld(seed uint64) *engineWorld {
-	w := &engineWorld{rng: rand.New(rand.NewPCG(seed, 99)), shape: worldShape, epoch: 1, without: os.Getenv("BBW_WITHOUT")}
+func newEngineWorld(seed uint64, told time.Duration) *engineWorld {
+	w := &engineWorld{rng: rand.New(rand.NewPCG(seed, 99)), shape: worldShape, epoch: 1, without: os.Getenv("BBW_WITHOUT"), told: told}
 	w.reform()
 	for i := range 2 {
 		w.leaders = append(w.leaders, &leaderSim{initiator: i == 0})
@@ -106,6 +108,7 @@
 	l.life = w.life
 	l.s = groupmap.NewSwitch(worldRanks, l.initiator, groupmap.SwitchTiming{})
 	l.s.Without(w.without)
+	l.s.Passes(w.told)
 	l.current = nil
 	l.lastRead = make([]int, worldRanks)
 }
