Take servers out of choice at their own word

Cause: a server that is about to stop says so in its responses, and a server that turns a request away may say for how long it wants no others. The gateway read neither: it went by the store alone, which may be away or restored from an older copy, and came back to a busy server at the next request.

Now whatever response carries the notice takes the server out of the choice at once, by its incarnation (ID and start), whatever is published afterwards. A request that was already placed there is checked once more when its connection is open, before a byte is sent, and goes elsewhere as not run.

Headers that cannot be read are ignored and logged once a server; a backoff is bounded by five minutes.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +17,10 @@
 	// stallTimeout is how long a group that has requests may run no pass before it
 	// counts as stalled.
 	stallTimeout = 450 * time.Millisecond
+	// restoredHoldTime is how long a server that was removed before a restore of the
+	// source is held back if the source publishes it again. By then the entry of a
+	// server that is gone has expired.
+	restoredHoldTime = 5 * time.Second
 )
 
 // Directory is the set of backend servers. It is safe for concurrent use.
@@ -32,6 +37,19 @@
 	// groups is keyed by group name, tables by service name.
 	groups map[string]*groupState
 	tables map[string]*serviceTable
+	// withdrawals knows the servers that want no requests.
+	withdrawals withdrawals
+	// heldBack holds, by ID, the servers that a restored source publishes again
+	// although they were removed before.
+	heldBack map[string]heldServer
+	// memberDigest combines the IDs of servers.
+	memberDigest uint64
+}
+
+// heldServer is a published server that is not used before until.
+type heldServer struct {
+	Server
+	until time.Time
 }
 
 // serverState is one published server with its health and its latest stated load.
@@ -75,6 +93,9 @@
 		statuses: make(map[string]Status),
 		groups:   make(map[string]*groupState),
 		tables:   make(map[string]*serviceTable),
+
+		withdrawals: newWithdrawals(),
+		heldBack:    make(map[string]heldServer),
 	}
 }
 
@@ -82,21 +103,52 @@
 func (d *Directory) Put(s Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.put(s, time.Now())
+}
+
+// put implements Put. The caller holds the lock.
+func (d *Directory) put(s Server, now time.Time) {
 	e := d.servers[s.ID]
 	if e == nil {
 		e = &serverState{}
 		d.servers[s.ID] = e
+		d.memberDigest ^= hashID(s.ID)
 	}
 	e.Server = s
 	e.expiresAt = time.Time{}
+	delete(d.heldBack, s.ID)
+	d.withdrawals.markPublished(&s, now)
 	d.markOutdated(s.Service)
 }
 
+// drop removes a server for good. The caller holds the lock.
+func (d *Directory) drop(e *serverState, now time.Time) {
+	delete(d.servers, e.ID)
+	d.memberDigest ^= hashID(e.ID)
+	d.withdrawals.markRemoved(&e.Server, now)
+	d.markOutdated(e.Service)
+}
+
+// MemberDigest returns a digest of the IDs of all servers, including those within
+// their grace period. Directories with the same servers have the same digest.
+func (d *Directory) MemberDigest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.memberDigest
+}
+
+func hashID(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // Write of a hash never fails.
+	return h.Sum64()
+}
+
 // Remove removes a server. With a grace period, a server that is not draining can
 // still be chosen for that long, and stays if it is published again.
 func (d *Directory) Remove(id string, grace time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.heldBack, id)
 	e := d.servers[id]
 	if e == nil {
 		return
@@ -107,8 +159,7 @@
 		}
 		return
 	}
-	delete(d.servers, id)
-	d.markOutdated(e.Service)
+	d.drop(e, now)
 }
 
 // Replace sets the published servers. Servers that are missing from the list are
@@ -130,8 +181,37 @@
 	return missing
 }
 
-// Expire removes servers whose grace period has ended, and statuses older than
-// statusTTL. It returns the IDs of the removed servers.
+// Restore is like Replace for the servers that a restored source publishes. Those
+// that were removed before the restore are held back for restoredHoldTime: their
+// entries come from an older copy, and a server that is alive publishes itself again
+// sooner.
+func (d *Directory) Restore(published []Server, grace time.Duration, now time.Time) []string {
+	var current []Server
+	for _, s := range published {
+		if !d.holdBack(s, now) {
+			current = append(current, s)
+		}
+	}
+	return d.Replace(current, grace, now)
+}
+
+// holdBack holds a server back if it was removed before, and reports whether it is
+// held back.
+func (d *Directory) holdBack(s Server, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.withdrawals.wasRemoved(&s) {
+		return false
+	}
+	if _, held := d.heldBack[s.ID]; !held {
+		d.heldBack[s.ID] = heldServer{Server: s, until: now.Add(restoredHoldTime)}
+	}
+	return true
+}
+
+// Expire removes servers whose grace period has ended and statuses older than
+// statusTTL, and adds the servers that are no longer held back. It returns the IDs of
+// the removed servers.
 func (d *Directory) Expire(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -139,10 +219,18 @@
 	for id, e := range d.servers {
 		if !e.expiresAt.IsZero() && now.After(e.expiresAt) {
 			expired = append(expired, id)
-			delete(d.servers, id)
-			d.markOutdated(e.Service)
+			d.drop(e, now)
+		}
+	}
+	for _, held := range d.heldBack {
+		if now.After(held.until) {
+			d.put(held.Server, now)
 		}
 	}
+	d.withdrawals.expire(now, func(i incarnation) bool {
+		e := d.servers[i.id]
+		return e != nil && e.incarnation() == i
+	})
 	for address, s := range d.statuses {
 		if now.Sub(s.ReceivedAt) > statusTTL {
 			delete(d.statuses, address)
@@ -159,13 +247,16 @@
 	return slices.Sorted(maps.Keys(d.servers))
 }
 
-// Servers returns all servers, including those within their grace period.
+// Servers returns all servers, including those within their grace period. Those that
+// are known to leave are marked as draining.
 func (d *Directory) Servers() []Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]Server, 0, len(d.servers))
 	for _, e := range d.servers {
-		out = append(out, e.Server)
+		s := e.Server
+		s.Draining = s.Draining || d.withdrawals.isLeaving(&s)
+		out = append(out, s)
 	}
 	return out
 }
@@ -258,6 +349,41 @@
 	}
 }
 
+// MarkLeaving records that a server has said itself that it leaves. It gets no new
+// requests from then on, whatever the source publishes, until another incarnation of
+// it is published. MarkLeaving reports whether that was not known before.
+func (d *Directory) MarkLeaving(id string, now time.Time) (isNew bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[id]
+	if e == nil {
+		return false
+	}
+	d.markOutdated(e.Service)
+	return d.withdrawals.markLeaving(&e.Server, now)
+}
+
+// BackOff records that a server wants no requests from this process for the given
+// time, at most maxBackoff.
+func (d *Directory) BackOff(id string, duration time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.servers[id]
+	if e == nil {
+		return
+	}
+	d.withdrawals.backOff(&e.Server, duration, now)
+	d.markOutdated(e.Service)
+}
+
+// Withdrawn reports whether a chosen server wants no requests, for good or for a
+// time. It may have said so since it was chosen.
+func (d *Directory) Withdrawn(s *Server, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.withdrawals.isLeaving(s) || d.withdrawals.backoff(s, now) > 0
+}
+
 // markAddressOutdated marks the routing tables of all services that have a server
 // at the address as outdated. The caller holds the lock.
 func (d *Directory) markAddressOutdated(address string) {
--- a/backends/server.go
+++ b/backends/server.go
@@ -4,8 +4,11 @@
 
 // Server is a backend server as published.
 type Server struct {
-	// ID identifies one incarnation of the server.
+	// ID identifies the server. A server that starts again may keep it.
 	ID string
+	// Started is when the server started, in Unix milliseconds by its own clock;
+	// zero if not published. With ID, it identifies one incarnation.
+	Started int64
 	// Service is the name of the service.
 	Service string
 	// Address is the IP:port where the server accepts requests.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -200,6 +200,7 @@
 	}
 	defer response.Close()
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
+	x.g.recordWithdrawal(choice, metadata)
 	if metadata.NotRun {
 		x.mayHaveRun = mayHaveRunBefore
 		return x.handleServerRefusal(choice, response, metadata)
@@ -243,7 +244,7 @@
 		Body:        x.body,
 		MaxIdle:     maxIdleRepeatable,
 		Matches:     func(h http.Header) bool { return x.g.headerCodec.MatchesRequest(h, x.call.ID) },
-		BeforeSend:  x.beforeSend,
+		BeforeSend:  func() error { return x.beforeSend(choice) },
 		KeepWaiting: x.waitPolicy(choice),
 	}
 	if !x.route.Repeatable() {
@@ -259,12 +260,19 @@
 // configuration is current is missing or too old.
 var errConfigStale = errors.New("gateway: the configuration is not proved fresh")
 
+// errServerWithdrawn means that nothing was sent because the server has said since it
+// was chosen that it wants no requests.
+var errServerWithdrawn = errors.New("gateway: the server takes no requests any more")
+
 // beforeSend is called when the connection is open and no byte has been sent. If
 // it returns nil, the request may run from then on.
-func (x *exchange) beforeSend() error {
+func (x *exchange) beforeSend(choice *backends.Choice) error {
 	if x.authenticated && !x.g.configFresh() {
 		return errConfigStale
 	}
+	if x.g.directory.Withdrawn(&choice.Server, time.Now()) {
+		return errServerWithdrawn
+	}
 	x.sendCount++
 	x.mayHaveRun = true
 	if x.sendCount == 1 {
@@ -279,6 +287,10 @@
 	if errors.Is(err, errConfigStale) {
 		return outcomeConfigStale
 	}
+	if errors.Is(err, errServerWithdrawn) {
+		x.failureCause = err.Error()
+		return outcomeNotRun
+	}
 	var sendErr *upstream.Error
 	sent := !errors.As(err, &sendErr) || sendErr.MaybeSent
 	if x.ctx.Err() != nil {
--- a/gateway/format.go
+++ b/gateway/format.go
@@ -56,6 +56,14 @@
 	Load *backends.Load
 	// FaultyServer is the server that a refusal names as broken; empty if none.
 	FaultyServer string
+	// Leaving is set if the server says that it is about to stop.
+	Leaving bool
+	// Backoff is how long a server that turned the request away wants no other
+	// requests; zero if not stated.
+	Backoff time.Duration
+	// Malformed names a header that could not be read and was ignored; empty if
+	// there was none.
+	Malformed string
 	// HasSeal is set if the response carries the seal of a backend server.
 	HasSeal bool
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	pool        *upstream.Pool
 	log         *log.Logger
 	metrics     *gatewayMetrics
+	malformed   malformedLog
 	limits      atomic.Pointer[Limits]
 	draining    atomic.Bool
 	// peakGatewayCount is the highest number of live gateways seen. Limits
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/backends"
 )
 
 // addFailoverServers adds two servers. The first request that either of them
@@ -198,10 +200,11 @@
 	a := h.addServer("a", func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
 	h.start()
 	x := &exchange{g: h.gateway, authenticated: true, serviceName: "svc"}
-	assert.NilError(t, x.beforeSend())
+	choice := &backends.Choice{Server: a.Server}
+	assert.NilError(t, x.beforeSend(choice))
 	h.stopSource()
 	time.Sleep(700 * time.Millisecond)
-	assert.ErrorIs(t, x.beforeSend(), errConfigStale)
+	assert.ErrorIs(t, x.beforeSend(choice), errConfigStale)
 	assert.Equal(t, x.sendCount, 1)
 	assert.Equal(t, a.requestCount.Load(), int64(0))
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,6 +57,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_tries_failed_total{then=%q}", event)).Inc()
 }
 
+// countWithdrawal counts a server that wants no requests, for good or for a time.
+func (m *gatewayMetrics) countWithdrawal(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_server_withdrawals_total{kind=%q}", kind)).Inc()
+}
+
 func (m *gatewayMetrics) observeResponseEnd(x *exchange, event string, elapsed time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_answers_total{end=%q}", event)).Inc()
 	m.answerSeconds.Histogram(x.organisation, x.serviceName).Update(elapsed.Seconds())
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -49,7 +49,11 @@
 func (testHeaderCodec) MatchesRequest(h http.Header, id string) bool { return h.Get("Id") == id }
 
 func (testHeaderCodec) ParseResponse(_ int, h http.Header) ResponseMetadata {
-	return ResponseMetadata{NotRun: h.Get("Not-Run") != "", FaultyServer: h.Get("Faulty"), HasSeal: h.Get("Seal") != ""}
+	seconds, _ := strconv.ParseFloat(h.Get("Backoff"), 64)
+	return ResponseMetadata{
+		NotRun: h.Get("Not-Run") != "", FaultyServer: h.Get("Faulty"), HasSeal: h.Get("Seal") != "",
+		Leaving: h.Get("Leaving") != "", Backoff: time.Duration(seconds * float64(time.Second)), Malformed: h.Get("Malformed"),
+	}
 }
 
 func (testHeaderCodec) SetRefusalHeaders(h http.Header, id string, retryAfter time.Duration) {
