Order what the store says by era, and let no rejected configuration prove freshness

A restore of the store from an older copy loses acknowledged changes and gives the same revisions out again. The follower ordered by revision alone, so it would have applied changes of another history, and a response of the copy counted as a proof that an old configuration, with keys revoked since, is the newest. 2. A newer configuration that cannot be used here, rejected or not decodable, counted as proved fresh all the same: a key revoked in it stayed accepted. 3. The end of a grace at a reader changed no revision, so those that depend on the reader kept the server for good. 4.

A new era is listed anew; what is missing there keeps the grace of a source that returns, and what was removed before the restore is held back for 5 s. A response of the source proves freshness only if it publishes the newest version that this process has seen anywhere, and the era has lasted 2 s: operators need that long to publish again. Peers tell how long they have known the era, so that a process that starts later does not wait.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -51,7 +51,9 @@
 	directory *backends.Directory
 	log       *log.Logger
 	peers     PeerAddresses
-	table     atomic.Pointer[ingress.Table]
+	// uptime returns the time since the machine booted.
+	uptime func() time.Duration
+	table  atomic.Pointer[ingress.Table]
 	// provenAt is the date of the proof that the configuration is the newest, as
 	// the time since the machine booted in nanoseconds; 0 means that there is no
 	// proof yet.
@@ -61,11 +63,17 @@
 	failedCalls atomic.Int64
 
 	// applyMu is held while a response is applied, so that the table, the
-	// directory and the revision are consistent with each other.
+	// directory and the position are consistent with each other.
 	applyMu sync.Mutex
-	// revision is the revision of the source that the table and the directory
-	// correspond to. At 0 the next call reads the complete state.
-	revision int64
+	// at is the position of the source that the table and the directory correspond
+	// to. At revision 0 the next call reads the complete state.
+	at position
+	// eras knows the newest era of the source.
+	eras eraClock
+	// published is what the source publishes as the configuration, and
+	// newestVersion the highest version that this process has seen anywhere.
+	published     publishedConfig
+	newestVersion int64
 
 	mu sync.Mutex
 	// usingReaders reports whether readers of the zone keep the proof fresh, so
@@ -79,6 +87,14 @@
 	sourceUnreachable bool
 }
 
+// publishedConfig is the configuration that the source publishes at a position.
+type publishedConfig struct {
+	// version is 0 if none is published.
+	version int64
+	// invalid says that it cannot be decoded, so that its version is not known.
+	invalid bool
+}
+
 // PeerAddresses provides the addresses, IP:port, at which other gateways serve
 // their peers.
 type PeerAddresses struct {
@@ -93,7 +109,7 @@
 // NewFollower returns a Follower without a configuration. Run fetches the first
 // one.
 func NewFollower(source Source, directory *backends.Directory, peers PeerAddresses, logger *log.Logger) *Follower {
-	return &Follower{source: source, directory: directory, peers: peers, log: logger}
+	return &Follower{source: source, directory: directory, peers: peers, log: logger, uptime: clock.SinceBoot}
 }
 
 // Table returns the table of the newest known configuration, or nil if none was
@@ -104,7 +120,7 @@
 // ok is false if there is no proof yet.
 func (f *Follower) ProofAge() (age time.Duration, ok bool) {
 	sentAt := f.provenAt.Load()
-	return clock.SinceBoot() - time.Duration(sentAt), sentAt != 0
+	return f.uptime() - time.Duration(sentAt), sentAt != 0
 }
 
 // SourceCalls returns the number of calls to the source and the number of those
@@ -144,14 +160,14 @@
 func (f *Follower) resetRevision() {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	f.log.Info().Str("event", "history_gone").Int64("after", f.revision).Msg("")
-	f.revision = 0
+	f.log.Info().Str("event", "history_gone").Int64("after", f.at.revision).Msg("")
+	f.at.revision = 0
 }
 
-func (f *Follower) currentRevision() int64 {
+func (f *Follower) currentPosition() position {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	return f.revision
+	return f.at
 }
 
 // sleep waits for d or until ctx ends.
@@ -162,9 +178,13 @@
 	}
 }
 
+// errOlderEra is returned for a response that was sent before the newest known
+// restore of the source.
+var errOlderEra = errors.New("discovery: the response precedes a restore of the source")
+
 // pollSource makes one call to the source and applies the response, unless a
-// response of a peer has changed the revision in the meantime. It reports whether
-// the source returned a new revision.
+// response of a peer has changed the position in the meantime. It reports whether
+// the source returned a new position.
 func (f *Follower) pollSource(ctx context.Context) (changed bool, err error) {
 	wait := watchWait
 	if age, ok := f.ProofAge(); ok && age > minWatchWaitAge {
@@ -172,36 +192,96 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+sourceTimeout)
 	defer cancel()
-	baseRevision := f.currentRevision()
-	sentAt := clock.SinceBoot()
+	base := f.currentPosition()
+	sentAt := f.uptime()
 	f.calls.Add(1)
-	if baseRevision == 0 {
+	if base.revision == 0 {
 		snapshot, err := f.source.Read(ctx)
 		if err != nil {
 			return false, err
 		}
-		f.applyResponse(baseRevision, snapshot.Revision, sentAt, func() { f.applySnapshot(snapshot) })
-		return true, nil
+		return true, f.applySnapshot(base, snapshot, sentAt)
 	}
-	changes, err := f.source.Watch(ctx, baseRevision, wait)
+	changes, err := f.source.Watch(ctx, base.revision, wait)
 	if err != nil {
 		return false, err
 	}
-	f.applyResponse(baseRevision, changes.Revision, sentAt, func() { f.applyChanges(changes) })
-	return changes.Revision != baseRevision, nil
+	changed = changes.Era == base.era && changes.Revision != base.revision
+	return changed, f.applyChanges(base, changes, sentAt)
 }
 
-// applyResponse applies a response of the source and records it as a proof of
-// freshness. It drops the response if the revision is no longer baseRevision, the
-// revision at which the call was made.
-func (f *Follower) applyResponse(baseRevision, revision int64, sentAt time.Duration, update func()) {
+// applySnapshot replaces the configuration and all servers by a complete state that
+// was requested at the position base. It drops the state if the position has changed
+// since. The error is errOlderEra.
+func (f *Follower) applySnapshot(base position, snapshot *Snapshot, sentAt time.Duration) error {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	if f.revision != baseRevision {
+	if f.at != base {
+		return nil
+	}
+	if f.observeEra(snapshot.Era, f.uptime()) == olderEra {
+		return errOlderEra
+	}
+	f.applyPublished(snapshot.Config, snapshot.ConfigInvalid)
+	if snapshot.Config == nil && !snapshot.ConfigInvalid {
+		f.published = publishedConfig{}
+	}
+	f.replaceServers(snapshot.Servers, f.removalGrace(time.Now()), "missing")
+	f.at = position{era: snapshot.Era, revision: snapshot.Revision}
+	f.recordProofOfSource(sentAt)
+	return nil
+}
+
+// applyChanges applies a change of the configuration and of single servers. It drops
+// them if the position is no longer base, from which they were requested. Changes of
+// a newer era belong to another history: the next call reads the complete state. The
+// error is errOlderEra.
+func (f *Follower) applyChanges(base position, changes *Changes, sentAt time.Duration) error {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	if f.at != base {
+		return nil
+	}
+	switch f.observeEra(changes.Era, f.uptime()) {
+	case olderEra:
+		return errOlderEra
+	case newerEra:
+		return nil
+	}
+	f.applyPublished(changes.Config, changes.ConfigInvalid)
+	f.updateServers(changes)
+	f.at.revision = changes.Revision
+	f.recordProofOfSource(sentAt)
+	return nil
+}
+
+// observeEra records the era of a response, and that it was there already at seenAt,
+// which is no earlier than the restore: a request may have been sent long before it.
+// If the era is newer than the known one, the position starts anew in that era. The
+// caller holds applyMu.
+func (f *Follower) observeEra(era int64, seenAt time.Duration) eraOrder {
+	before := f.eras
+	order := f.eras.observe(era, seenAt)
+	if order == newerEra {
+		f.at = position{era: era}
+		f.published = publishedConfig{}
+	}
+	if order == newerEra && before.known {
+		f.log.Warn().Str("event", "source_restored").Int64("era", era).Int64("version", f.newestVersion).Msg("")
+	}
+	return order
+}
+
+// recordProofOfSource records a response of the source, requested at sentAt, as a
+// proof of freshness. It does nothing if the response proves nothing: because the
+// source has lost a version since a restore, may still have lost one, or publishes
+// one that cannot be served here. The caller holds applyMu.
+func (f *Follower) recordProofOfSource(sentAt time.Duration) {
+	table := f.table.Load()
+	complete := !f.published.invalid && f.published.version >= f.newestVersion
+	if table == nil || !complete || table.Version() < f.newestVersion || !f.eras.settled(sentAt) {
 		return
 	}
-	update()
-	f.revision = revision
 	f.recordProof(sentAt)
 }
 
@@ -215,20 +295,24 @@
 	}
 }
 
-// applySnapshot replaces the configuration and all servers. The caller holds
-// applyMu.
-func (f *Follower) applySnapshot(snapshot *Snapshot) {
-	f.applyConfig(snapshot.Config)
+// replaceServers replaces all servers by the published ones, and logs change for
+// those that are missing. Soon after a restore of the source, servers that were
+// removed before it are held back. The caller holds applyMu.
+func (f *Follower) replaceServers(published []backends.Server, grace time.Duration, change string) {
 	now := time.Now()
-	for _, id := range f.directory.Replace(snapshot.Servers, f.removalGrace(now), now) {
-		f.logServer(id, "missing")
+	var missing []string
+	if f.eras.settled(f.uptime()) {
+		missing = f.directory.Replace(published, grace, now)
+	} else {
+		missing = f.directory.Restore(published, grace, now)
+	}
+	for _, id := range missing {
+		f.logServer(id, change)
 	}
 }
 
-// applyChanges applies a change of the configuration and of single servers. The
-// caller holds applyMu.
-func (f *Follower) applyChanges(c *Changes) {
-	f.applyConfig(c.Config)
+// updateServers applies changes of single servers. The caller holds applyMu.
+func (f *Follower) updateServers(c *Changes) {
 	for _, s := range c.Updated {
 		f.directory.Put(s)
 		if s.Draining {
@@ -246,12 +330,24 @@
 	f.log.Info().Str("event", "server").Str("server", id).Str("change", change).Msg("")
 }
 
+// applyPublished records what the source publishes as the configuration, and
+// activates it. It does nothing if c is nil and invalid is not set. The caller holds
+// applyMu.
+func (f *Follower) applyPublished(c *ingress.Config, invalid bool) {
+	switch {
+	case invalid:
+		f.published = publishedConfig{invalid: true}
+	case c != nil:
+		f.published = publishedConfig{version: c.Version}
+		f.applyConfig(c)
+	}
+}
+
 // applyConfig activates a configuration. An older version never replaces a newer
-// one, and a configuration that cannot be served is rejected. A nil c is ignored.
+// one, and a configuration that cannot be served is rejected. The caller holds
+// applyMu.
 func (f *Follower) applyConfig(c *ingress.Config) {
-	if c == nil {
-		return
-	}
+	f.newestVersion = max(f.newestVersion, c.Version)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if old := f.table.Load(); old != nil && old.Version() >= c.Version {
@@ -263,19 +359,30 @@
 		return
 	}
 	f.table.Store(table)
-	f.log.Info().Str("event", "config_in_force").Int64("version", c.Version).Int("routes", len(c.Routes)).Msg("")
+	f.log.Info().Str("event", "config_in_force").Int64("version", c.Version).Int64("era", f.eras.era).Int("routes", len(c.Routes)).Msg("")
 }
 
 // removalGrace returns how long a server that is no longer published remains
-// selectable. If the source has not failed recently it is zero, because the server
-// was then withdrawn and did not merely expire during an outage.
+// selectable. If the source has neither failed nor been restored recently it is
+// zero, because the server was then withdrawn and did not merely expire during an
+// outage. The caller holds applyMu.
 func (f *Follower) removalGrace(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lastFailure.IsZero() {
+	var grace time.Duration
+	if !f.lastFailure.IsZero() {
+		grace = republishGrace - now.Sub(f.lastFailure)
+	}
+	return max(grace, f.restoreGrace())
+}
+
+// restoreGrace is like removalGrace after a restore of the source. The caller holds
+// applyMu.
+func (f *Follower) restoreGrace() time.Duration {
+	if f.eras.era <= firstEra {
 		return 0
 	}
-	return max(0, republishGrace-now.Sub(f.lastFailure))
+	return max(0, restoreSettleTime-(f.uptime()-f.eras.seenAt))
 }
 
 func (f *Follower) markSourceUnreachable(err error) {
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -256,10 +256,11 @@
 // revision while the call was in progress.
 func TestAnswerThatAPeerOvertookIsDropped(t *testing.T) {
 	f := NewFollower(&fakeSource{}, backends.NewDirectory("z", 1), PeerAddresses{}, logging.New(io.Discard, "error"))
-	f.applyResponse(0, 10, time.Second, func() { f.applyConfig(newConfig(7)) })
-	f.revision = 20
-	f.applyResponse(10, 15, 2*time.Second, func() { t.Error("the outdated response was applied") })
-	assert.Equal(t, f.currentRevision(), int64(20))
+	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Config: newConfig(7), Revision: 10}, time.Second))
+	f.at.revision = 20
+	assert.NilError(t, f.applyChanges(position{revision: 10}, &Changes{Config: newConfig(8), Revision: 15}, 2*time.Second))
+	assert.Equal(t, f.Table().Version(), int64(7), "the outdated response was applied")
+	assert.Equal(t, f.currentPosition(), position{revision: 20})
 	assert.Equal(t, f.provenAt.Load(), int64(time.Second))
 }
 
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -17,7 +17,6 @@
 	"bluebellwind.example/backends"
 	"bluebellwind.example/discovery/discoverypb"
 	"bluebellwind.example/ingress"
-	"bluebellwind.example/internal/clock"
 	"bluebellwind.example/internal/nettimeout"
 )
 
@@ -55,20 +54,24 @@
 	// never returned with an older one.
 	age, ok := f.ProofAge()
 	f.applyMu.Lock()
-	table, revision := f.table.Load(), f.revision
-	servers := f.directory.Servers()
+	table, at, eras, published := f.table.Load(), f.at, f.eras, f.published
+	servers, members := f.directory.Servers(), f.directory.MemberDigest()
 	f.applyMu.Unlock()
 	if table == nil || !ok || age > maxServedProofAge {
 		return nil, errNoFreshState
 	}
-	reply := &discoverypb.Reply{Version: table.Version(), Revision: revision, AgeUs: age.Microseconds()}
+	reply := &discoverypb.Reply{
+		Version: table.Version(), Era: eras.era, Revision: at.revision, AgeUs: age.Microseconds(),
+		EraAgeUs: (f.uptime() - eras.seenAt).Microseconds(), PublishedVersion: published.version,
+	}
 	var err error
 	if request.KnownVersion < table.Version() {
 		if reply.Config, err = encode(table.Config()); err != nil {
 			return nil, err
 		}
 	}
-	if request.KnownRevision != revision {
+	known := position{era: request.KnownEra, revision: request.KnownRevision}
+	if at.revision != 0 && (known != at || request.KnownMembers != members) {
 		reply.Servers, err = encode(servers)
 	}
 	return reply, err
@@ -105,11 +108,8 @@
 func (f *Follower) queryPeer(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	request := &discoverypb.Question{KnownRevision: f.currentRevision()}
-	if t := f.table.Load(); t != nil {
-		request.KnownVersion = t.Version()
-	}
-	sentAt := clock.SinceBoot()
+	request := f.newQuestion()
+	sentAt := f.uptime()
 	tcpConn, err := nettimeout.Dialer(peerTimeout, peerTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("discovery: connect to peer: %w", err)
@@ -123,9 +123,19 @@
 	return f.applyReply(reply, sentAt, address)
 }
 
+// newQuestion returns a question that states what this process knows.
+func (f *Follower) newQuestion() *discoverypb.Question {
+	at := f.currentPosition()
+	question := &discoverypb.Question{KnownEra: at.era, KnownRevision: at.revision, KnownMembers: f.directory.MemberDigest()}
+	if t := f.table.Load(); t != nil {
+		question.KnownVersion = t.Version()
+	}
+	return question
+}
+
 // applyReply applies the configuration and the servers of a peer's reply. It
 // records the peer's proof if both gateways have the same version of the
-// configuration.
+// configuration and the peer knows the newest era.
 func (f *Follower) applyReply(reply *discoverypb.Reply, sentAt time.Duration, peer string) error {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
@@ -136,13 +146,17 @@
 		}
 		f.applyConfig(config)
 	}
+	order := f.observeEra(reply.Era, f.uptime()-time.Duration(reply.EraAgeUs)*time.Microsecond)
 	table := f.table.Load()
-	if table == nil || table.Version() != reply.Version {
+	if order == olderEra || table == nil || table.Version() != reply.Version {
 		return nil // The peer has an older version, or its configuration was rejected here.
 	}
 	if err := f.applyServers(reply); err != nil {
 		return err
 	}
+	if table.Version() < f.newestVersion {
+		return nil // A newer configuration was rejected here.
+	}
 	f.recordProof(sentAt - time.Duration(reply.AgeUs)*time.Microsecond)
 	f.mu.Lock()
 	entry := f.log.Debug()
@@ -155,20 +169,23 @@
 	return nil
 }
 
-// applyServers replaces the servers by those of a peer if the peer's revision is
-// newer. The caller holds applyMu.
+// applyServers replaces the servers by those of a peer of the same era, unless the
+// peer's revision is older. At the same revision they differ if the grace of a server
+// has ended at the peer. The caller holds applyMu.
 func (f *Follower) applyServers(reply *discoverypb.Reply) error {
-	if reply.Revision <= f.revision || len(reply.Servers) == 0 {
+	if reply.Revision < f.at.revision || len(reply.Servers) == 0 {
 		return nil
 	}
 	var servers []backends.Server
 	if err := decode(reply.Servers, &servers); err != nil {
 		return err
 	}
-	for _, id := range f.directory.Replace(servers, 0, time.Now()) {
-		f.logServer(id, "missing at a peer")
+	f.replaceServers(servers, f.restoreGrace(), "missing at a peer")
+	if reply.PublishedVersion == 0 {
+		return nil // Without it, the position would not tell what the source publishes.
 	}
-	f.revision = reply.Revision
+	f.at.revision = reply.Revision
+	f.published = publishedConfig{version: reply.PublishedVersion}
 	return nil
 }
 
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -15,21 +15,34 @@
 
 // Snapshot is the complete published state at one revision of the source.
 type Snapshot struct {
-	// Config is nil if no configuration is published yet.
-	Config   *ingress.Config
-	Servers  []backends.Server
+	// Config is nil if no configuration is published, or if ConfigInvalid is set.
+	Config *ingress.Config
+	// ConfigInvalid says that the published configuration cannot be decoded.
+	ConfigInvalid bool
+	Servers       []backends.Server
+	// Era counts how often the source was restored from an older copy. A restore
+	// may lose the latest changes, and revisions of different eras cannot be
+	// compared.
+	Era int64
+	// Revision increases with each change within an era.
 	Revision int64
 }
 
 // Changes holds what was published or withdrawn after a given revision, up to
 // Revision.
 type Changes struct {
-	// Config is nil if the configuration did not change.
+	// Config is nil if the configuration did not change, or if ConfigInvalid is
+	// set.
 	Config *ingress.Config
+	// ConfigInvalid says that the new configuration cannot be decoded.
+	ConfigInvalid bool
 	// Updated holds the servers that are new or changed, Removed the IDs of the
 	// servers that are no longer published.
-	Updated  []backends.Server
-	Removed  []string
+	Updated []backends.Server
+	Removed []string
+	// Era and Revision are as in Snapshot. If Era is not that of the revision from
+	// which the changes were requested, they belong to another history.
+	Era      int64
 	Revision int64
 }
 
@@ -37,7 +50,7 @@
 // callers keep the number of calls low. Implementations are safe for concurrent
 // use.
 type Source interface {
-	// Read returns the complete published state. Entries that cannot be decoded
+	// Read returns the complete published state. Servers that cannot be decoded
 	// are omitted.
 	Read(ctx context.Context) (*Snapshot, error)
 	// Watch returns the changes made after baseRevision. It blocks until there are
