Tell first attempts from returns by what callers state

Cause: a request counted as one that came back after a refusal if its caller's remaining time was more than 50 ms below the route's time. So nearly all first attempts were placed as returns: late groups first, and behind at the servers.

The wait of returns was chosen in the past with all requests taken for returns; it is unchanged here.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,8 +20,11 @@
 	deadlineMargin = 10 * time.Millisecond
 	// lowestServerPriority is the priority that servers serve last.
 	lowestServerPriority = 9
-	// A request counts as a caller's retry if the time that the caller will still
-	// wait is shorter than the route's timeout by more than callerRetrySlack.
+	// firstAttemptShare is the least share of the route's timeout that callers state
+	// as their remaining time at their first attempt. Each caller states another one.
+	firstAttemptShare = 0.85
+	// callerRetrySlack is how much of the remaining time a first attempt may use up
+	// on its way.
 	callerRetrySlack = 50 * time.Millisecond
 )
 
@@ -69,7 +72,7 @@
 		}
 		return verdict.Refuse(verdict.NoRoute, verdict.NotRun, "no route leads from here")
 	}
-	x.callerRetry = x.call.Remaining > 0 && x.call.Remaining < x.route.Timeout-callerRetrySlack
+	x.callerRetry = isCallerRetry(x.call.Remaining, x.route.Timeout)
 	priority := x.route.Priority
 	if table.RequiresKey() && !x.route.Public {
 		if !fresh {
@@ -95,6 +98,12 @@
 	return nil
 }
 
+// isCallerRetry reports whether a caller that states the remaining time was probably
+// refused before. It returns false if the caller states none.
+func isCallerRetry(remaining, timeout time.Duration) bool {
+	return remaining > 0 && remaining < time.Duration(firstAttemptShare*float64(timeout))-callerRetrySlack
+}
+
 // requestDeadline returns when the last byte of the response should be sent;
 // zero if neither the route nor the caller sets a timeout.
 func requestDeadline(arrived time.Time, route *ingress.Route, remaining time.Duration) time.Time {
