Let large groups switch their maps

So the statuses of ranks were lost, none of the plans found all ranks heard within 0.7 s (a status comes each 0.49 s), orders went directly to servers with the whole map, and maps of some 6 KB to each of 96 ranks took over a second, after which all were sent again, whole.

Now the counts of a group take at most a fifth of the link: each rank sends seldom, the last 180 ms only, and the messages are spread over the period. Maps go through the agents of eight candidates; what had no effect goes out directly. Only candidates get the status of all ranks and may lead. A plan is computed beside the agent. Times of silence and of sending again grow with the fleet and the group. The link's rate is a new setting, link_mbps.

--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -38,9 +38,12 @@
 	// an agent.
 	Service string `yaml:"service"`
 	// MemoryMB is the memory limit of the process, in megabytes.
-	MemoryMB int    `yaml:"memory_mb"`
-	Log      Log    `yaml:"log"`
-	Bounds   Bounds `yaml:"bounds"`
+	MemoryMB int `yaml:"memory_mb"`
+	// LinkMbps is the rate of the instance's link, in megabits per second; zero if not
+	// known.
+	LinkMbps float64 `yaml:"link_mbps"`
+	Log      Log     `yaml:"log"`
+	Bounds   Bounds  `yaml:"bounds"`
 }
 
 // Bounds are guarantees that the processes of the system provide jointly. Zero
@@ -126,6 +129,9 @@
 			return &invalidField{a.field, fmt.Sprintf("%q is not IP:port", a.value)}
 		}
 	}
+	if n.LinkMbps < 0 {
+		return &invalidField{"link_mbps", "must not be negative"}
+	}
 	return n.Bounds.check()
 }
 
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -13,6 +13,9 @@
 	"bluebellwind.example/rankagent"
 )
 
+// bytesPerMegabit converts a rate in Mbit/s to bytes per second.
+const bytesPerMegabit = 1e6 / 8
+
 // RunRankAgent runs the agent of a rank with the settings in file until SIGTERM
 // or SIGINT.
 func RunRankAgent(file string) error {
@@ -37,6 +40,8 @@
 		Config:  source.ReadConfig,
 		Log:     logger.Logger,
 		Uptime:  clock.SinceBoot,
+
+		LinkBytesPerSecond: settings.LinkMbps * bytesPerMegabit,
 	})
 	meshNode, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
+	"bluebellwind.example/backends"
 	"bluebellwind.example/groupmap"
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/mesh"
@@ -53,6 +55,8 @@
 	// if there is none that can be decoded.
 	Config func(ctx context.Context) (*ingress.Config, error)
 	Log    *log.Logger
+	// LinkBytesPerSecond is the rate of the instance's link; zero if not known.
+	LinkBytesPerSecond float64
 	// Uptime returns the time since the machine started, which outlasts the
 	// process.
 	Uptime func() time.Duration
@@ -88,6 +92,8 @@
 	// at the last read.
 	lastCounts  ExpertCounts
 	heldExperts HeldExperts
+	// countsSentAt is when the local counts were last sent.
+	countsSentAt time.Time
 	// recentMaps are the maps of recent orders, to which later differences apply.
 	recentMaps map[mapKey]*groupmap.Map
 }
@@ -301,6 +307,9 @@
 
 // handleOrder carries out an order of the group's leader.
 func (a *Agent) handleOrder(o *meshpb.RankOrder) {
+	if len(o.Forward) > 0 {
+		go a.forwardOrder(context.Background(), o)
+	}
 	order := groupmap.Order{
 		Rank: int(o.Rank), Kind: groupmap.OrderKind(o.Kind), Epoch: o.Epoch, Version: o.Version, Step: o.Step,
 	}
@@ -390,8 +399,8 @@
 	}
 }
 
-// reportCounts reads how often each expert was chosen and sends the increase
-// since the previous read to the initiator's agent.
+// reportCounts reads how often each expert was chosen and, if that is due, sends the
+// increase since the previous read to the initiator's agent.
 func (a *Agent) reportCounts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -420,8 +429,18 @@
 		Group: report.Group.Name, Epoch: counts.Epoch, Rank: uint32(report.Group.Rank),
 		Counts: chosen, Unit: unit, Map: held.Version, Held: packExperts(held.Experts), Sets: uint32(len(held.Experts)),
 	}
+	now := time.Now()
+	period := a.countsSendPeriod(report.Group.Size, proto.Size(message))
+	a.leader.popularity.period = period
+	due := now.Sub(a.countsSentAt) >= period-countsPeriod/2
+	if due {
+		a.countsSentAt = nextCountsOrigin(now, a.countsSentAt, period, report.Group)
+	}
 	initiator, isInitiator := a.leader.initiatorAgent()
 	a.mu.Unlock()
+	if !due {
+		return
+	}
 	if isInitiator {
 		a.handlePopularity(message)
 		return
@@ -431,6 +450,32 @@
 	}
 }
 
+// countsLinkShare is the share of the initiator's link that the counts of its group
+// may take.
+const countsLinkShare = 0.2
+
+// countsSendPeriod returns the time between two messages with the counts of a rank,
+// of the given size in bytes. In a large group each rank sends seldom, so that all
+// together do not exceed countsLinkShare: the requests of any few ranks stand for those
+// of the others.
+func (a *Agent) countsSendPeriod(ranks, messageBytes int) time.Duration {
+	if a.options.LinkBytesPerSecond == 0 {
+		return countsPeriod
+	}
+	seconds := float64(ranks*messageBytes) / (countsLinkShare * a.options.LinkBytesPerSecond)
+	return max(countsPeriod, time.Duration(seconds*float64(time.Second)))
+}
+
+// nextCountsOrigin returns the time from which the period until the next message with
+// counts is measured, after one was sent now. All agents start at once; after their
+// first message they spread theirs over the period, by rank.
+func nextCountsOrigin(now, lastOrigin time.Time, period time.Duration, g backends.Group) time.Time {
+	if !lastOrigin.IsZero() || g.Size == 0 {
+		return now
+	}
+	return now.Add(period * time.Duration(g.Rank-g.Size) / time.Duration(g.Size))
+}
+
 // countsSince returns how often each expert was chosen between two reads. It
 // returns zeros if the reads differ in epoch or number of experts, and zero for
 // a count that has decreased.
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"bluebellwind.example/backends"
@@ -16,24 +17,30 @@
 	// initiatorRank is the rank whose agent plans maps and starts switches. Package
 	// groupmap sends its holds to the same rank.
 	initiatorRank = 0
-	// silenceTimeout is the time without a status of an agent after which the
-	// agent counts as silent: the active leader reads its rank and sends it orders
-	// directly. If the silent agent was the active leader, the agent of the next
-	// rank takes over.
-	silenceTimeout = 700 * time.Millisecond
+	// minSilenceTimeout is the least time without a status of an agent after which
+	// the agent counts as silent: the active leader reads its rank and sends it
+	// orders directly. If the silent agent was the active leader, that of the next
+	// candidate takes over.
+	minSilenceTimeout = 700 * time.Millisecond
+	// silentStatusPeriods is the same time in periods of the status messages, of
+	// which single ones are lost.
+	silentStatusPeriods = 3
 	// remoteReadPeriod is the time between two direct reads of the rank of a
 	// silent agent. Unlike reads of the local server they have a cost.
 	remoteReadPeriod = 200 * time.Millisecond
-	// maxPopularityAge is the greatest age of a rank's expert counts at which the
-	// map that it reported with them is used.
-	maxPopularityAge = 1200 * time.Millisecond
 	// planPeriod is the time between two plans if no switch is started.
 	planPeriod = 150 * time.Millisecond
 	// settlePeriod is the time after a switch in which no map is planned.
 	settlePeriod = 50 * time.Millisecond
-	// burstBytes is the number of bytes of maps after which the leader pauses, so
-	// that orders do not overrun the link of a small instance.
-	burstBytes = 24 << 10
+	// maxBurstBytes is the greatest number of bytes of maps after which the leader
+	// pauses, so that orders do not overrun the link of a small instance, and
+	// burstLinkShare the share of the link that they may take.
+	maxBurstBytes  = 24 << 10
+	burstLinkShare = 0.5
+	// A map is sent again after minPrepareResendInterval and prepareResendPerRank for
+	// each rank, because the maps of a large group leave one after the other.
+	minPrepareResendInterval = 350 * time.Millisecond
+	prepareResendPerRank     = 8 * time.Millisecond
 	// minSkewGain is the least reduction of the skew for which a switch is
 	// started.
 	minSkewGain = 0.15
@@ -108,8 +115,12 @@
 	plannedAt time.Time
 	// notReadyAt is when the group was last seen not ready for a switch.
 	notReadyAt time.Time
-	// readingShape is set while readShape reads the configuration.
-	readingShape bool
+	// readingShape is set while readShape reads the configuration, planning while
+	// computePlan computes a map.
+	readingShape, planning bool
+	// silenceTimeout is the time without a status after which an agent is silent; it
+	// is updated at each tick.
+	silenceTimeout time.Duration
 }
 
 // observe updates the state of a rank. from is the ID of the agent that sent
@@ -122,7 +133,7 @@
 		return
 	}
 	l.servers[g.Rank] = server
-	if from != "" && sequence <= l.sequences[g.Rank] && now.Sub(l.heardAt[g.Rank]) < silenceTimeout {
+	if from != "" && sequence <= l.sequences[g.Rank] && now.Sub(l.heardAt[g.Rank]) < minSilenceTimeout {
 		return // A delayed datagram; a newer one was processed before.
 	}
 	l.sequences[g.Rank] = sequence
@@ -140,7 +151,10 @@
 	l.requestsByRank = make(map[int]int)
 	l.passTimes = make(map[int]float64)
 	l.startedMap = nil
-	l.mapSwitch = groupmap.NewSwitch(g.Size, g.Rank == initiatorRank, groupmap.SwitchTiming{})
+	l.silenceTimeout = minSilenceTimeout
+	l.mapSwitch = groupmap.NewSwitch(g.Size, g.Rank == initiatorRank, groupmap.SwitchTiming{
+		PrepareResendInterval: minPrepareResendInterval + time.Duration(g.Size)*prepareResendPerRank,
+	})
 }
 
 // setPeer records the agent of a rank.
@@ -150,17 +164,24 @@
 	}
 }
 
-// statusPeers returns the agents that get the status of the local rank: those
-// of the group, or all agents until those of the group are known.
+// statusPeers returns the agents that get the status of the local rank. A candidate
+// sends it to the whole group, whose agents need to know it; the others send it to the
+// candidates. Until the agents of those are known, all agents get it.
 func (l *leader) statusPeers() []mesh.Peer {
-	if l.mapSwitch == nil || len(l.peers) < l.group.Size-1 {
+	if l.mapSwitch == nil {
 		return l.agent.mesh.Peers(mesh.RankAgent)
 	}
-	out := make([]mesh.Peer, 0, len(l.peers))
-	for rank, p := range l.peers {
-		if rank != l.group.Rank {
-			out = append(out, p)
+	var out []mesh.Peer
+	toAll := isCandidate(l.group.Rank, l.group.Size)
+	for rank := range l.group.Size {
+		if rank == l.group.Rank || !toAll && !isCandidate(rank, l.group.Size) {
+			continue
 		}
+		p, known := l.peers[rank]
+		if !known {
+			return l.agent.mesh.Peers(mesh.RankAgent)
+		}
+		out = append(out, p)
 	}
 	return out
 }
@@ -174,15 +195,18 @@
 	return l.peers[initiatorRank], false
 }
 
-// isActive reports whether this agent is the active leader: the agent of the
+// isActive reports whether this agent is the active leader: the candidate of the
 // lowest rank that is not silent.
 func (l *leader) isActive(now time.Time) bool {
+	if l.mapSwitch == nil || !isCandidate(l.group.Rank, l.group.Size) {
+		return false
+	}
 	for rank := range l.group.Rank {
-		if now.Sub(l.heardAt[rank]) < silenceTimeout {
+		if isCandidate(rank, l.group.Size) && now.Sub(l.heardAt[rank]) < l.silenceTimeout {
 			return false
 		}
 	}
-	return l.mapSwitch != nil
+	return true
 }
 
 // tick plans a map if that is due, and sends the orders that are due.
@@ -190,6 +214,7 @@
 	a := l.agent
 	now := time.Now()
 	a.mu.Lock()
+	l.silenceTimeout = max(minSilenceTimeout, silentStatusPeriods*a.statusPeriod())
 	if !l.isActive(now) || !a.up {
 		a.mu.Unlock()
 		return
@@ -197,21 +222,26 @@
 	l.plan(ctx, now)
 	minVersion := uint64(a.options.Uptime().Milliseconds())
 	orders := l.mapSwitch.Tick(now, minVersion)
-	sends := make([]func() int, 0, len(orders))
-	for _, o := range orders {
-		sends = append(sends, l.orderSender(ctx, o, now))
-	}
+	sends := l.orderSenders(ctx, orders, now)
 	silent := l.silentRanksToRead(now)
 	a.mu.Unlock()
-	sendPaced(ctx, sends)
+	sendPaced(ctx, sends, a.burstBytes())
 	for rank, server := range silent {
 		go l.readRemote(ctx, rank, server)
 	}
 }
 
+// burstBytes returns the number of bytes of maps that may leave in one leaderPeriod.
+func (a *Agent) burstBytes() int {
+	if a.options.LinkBytesPerSecond == 0 {
+		return maxBurstBytes
+	}
+	return min(maxBurstBytes, int(burstLinkShare*a.options.LinkBytesPerSecond*leaderPeriod.Seconds()))
+}
+
 // sendPaced sends orders. It pauses for leaderPeriod after each burstBytes, so
 // that the link can transmit them.
-func sendPaced(ctx context.Context, sends []func() int) {
+func sendPaced(ctx context.Context, sends []func() int, burstBytes int) {
 	bytes := 0
 	for _, send := range sends {
 		bytes += send()
@@ -227,10 +257,37 @@
 	}
 }
 
-// orderSender returns a function that sends an order to its rank and returns
-// how many bytes of map data it sent over the mesh. The rank of a silent or
-// unknown agent gets the order directly.
-func (l *leader) orderSender(ctx context.Context, o groupmap.Order, now time.Time) func() int {
+// orderSenders returns functions that send the orders, see orderSender. In a large
+// group the agents of candidates pass maps on to the others.
+func (l *leader) orderSenders(ctx context.Context, orders []groupmap.Order, now time.Time) []func() int {
+	var sends []func() int
+	for _, r := range assignRelays(orders, l.relays(now)) {
+		sends = append(sends, l.orderSender(ctx, r.order, r.forward, now))
+	}
+	return sends
+}
+
+// relays returns the ranks whose agents can pass orders on: the candidates of a large
+// group, which know the agents of all ranks, unless they are silent.
+func (l *leader) relays(now time.Time) []int {
+	if l.group.Size <= maxSmallGroup {
+		return nil
+	}
+	var out []int
+	for rank := range l.group.Size {
+		_, known := l.peers[rank]
+		if known && isCandidate(rank, l.group.Size) && now.Sub(l.heardAt[rank]) < l.silenceTimeout {
+			out = append(out, rank)
+		}
+	}
+	return out
+}
+
+// orderSender returns a function that sends an order to its rank, and to the forward
+// ranks through the agent of that rank. The function returns how many bytes of map
+// data it sent over the mesh. The rank of a silent or unknown agent gets the order
+// directly.
+func (l *leader) orderSender(ctx context.Context, o groupmap.Order, forward []uint32, now time.Time) func() int {
 	a := l.agent
 	if o.Rank == l.group.Rank {
 		return func() int {
@@ -239,7 +296,7 @@
 		}
 	}
 	peer, known := l.peers[o.Rank]
-	if !known || now.Sub(l.heardAt[o.Rank]) >= silenceTimeout {
+	if !known || now.Sub(l.heardAt[o.Rank]) >= l.silenceTimeout {
 		engine := a.options.Dial(l.servers[o.Rank])
 		return func() int {
 			go a.executeOrder(ctx, engine, o)
@@ -248,14 +305,12 @@
 	}
 	message := &meshpb.RankOrder{
 		Kind: uint32(o.Kind), Group: l.group.Name, Epoch: o.Epoch, Version: o.Version, Step: o.Step, Rank: uint32(o.Rank),
+		Forward: forward,
 	}
 	if o.Map != nil {
 		l.encodeMap(message, o)
 	}
-	return func() int {
-		a.mesh.Send(&meshpb.Packet{Order: message}, peer)
-		return len(message.Map) + len(message.Difference)
-	}
+	return a.orderPacketSender(message, peer)
 }
 
 // encodeMap puts the map of an order into a message: as the difference from the
@@ -282,7 +337,7 @@
 	}
 	out := make(map[int]string)
 	for rank, server := range l.servers {
-		if rank == l.group.Rank || now.Sub(l.heardAt[rank]) < silenceTimeout || now.Sub(l.remoteReadAt[rank]) < remoteReadPeriod {
+		if rank == l.group.Rank || now.Sub(l.heardAt[rank]) < l.silenceTimeout || now.Sub(l.remoteReadAt[rank]) < remoteReadPeriod {
 			continue
 		}
 		l.remoteReadAt[rank] = now
@@ -309,7 +364,7 @@
 
 // plan starts a switch to a better map if the gain justifies its cost.
 func (l *leader) plan(ctx context.Context, now time.Time) {
-	if l.group.Rank != initiatorRank || !l.mapSwitch.Ready() {
+	if l.planning || l.group.Rank != initiatorRank || !l.mapSwitch.Ready() {
 		if l.group.Rank == initiatorRank && l.mapSwitch != nil {
 			l.notReadyAt = now
 		}
@@ -324,7 +379,7 @@
 	}
 	l.plannedAt = now
 	version, epoch := l.mapSwitch.Version()
-	current := l.mapInUse(version, now)
+	current := l.mapInUse(version)
 	if current == nil || l.popularity.epoch != epoch || current.Validate(l.shape) != nil || !l.popularity.fits(l.shape) {
 		return
 	}
@@ -334,22 +389,55 @@
 	}
 	l.mapSwitch.SetCurrentMap(current)
 	l.currentMap = current
-	demand := groupmap.Demand{Load: load, TokenTimes: l.tokenTimes()}
-	out := groupmap.Plan(current, demand, l.shape, planLimits(l.engineConfig.Experts, l.group.Size, l.busyShare()))
+	l.planning = true
+	go l.computePlan(planInput{
+		current: current, epoch: epoch, shape: l.shape, demand: groupmap.Demand{Load: cloneLoad(load), TokenTimes: l.tokenTimes()},
+		limits: planLimits(l.engineConfig.Experts, l.group.Size, l.busyShare()),
+	})
+}
+
+// planInput is what a plan is computed from.
+type planInput struct {
+	current *groupmap.Map
+	epoch   uint64
+	demand  groupmap.Demand
+	shape   groupmap.Shape
+	limits  groupmap.Limits
+}
+
+func cloneLoad(load [][]float64) [][]float64 {
+	out := make([][]float64, len(load))
+	for set := range load {
+		out[set] = slices.Clone(load[set])
+	}
+	return out
+}
+
+// computePlan computes a plan and starts a switch to its map if that gains enough. A
+// plan for a large group takes long, so the agent is not locked meanwhile.
+func (l *leader) computePlan(in planInput) {
+	began := time.Now()
+	out := groupmap.Plan(in.current, in.demand, in.shape, in.limits)
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	l.planning = false
 	l.agent.metrics.skew.Store(int64(out.SkewBefore * 1000))
-	if out.SkewBefore-out.SkewAfter < minSkewGain {
+	version, epoch := l.mapSwitch.Version()
+	if out.SkewBefore-out.SkewAfter < minSkewGain || version != in.current.Version || epoch != in.epoch || l.shape != in.shape {
 		return
 	}
 	out.Map.Version = l.mapSwitch.NextVersion(uint64(l.agent.options.Uptime().Milliseconds()))
 	l.mapSwitch.SetPassDuration(l.agent.passTimer.meanDuration)
-	if l.mapSwitch.Start(out.Map, now) {
-		l.startedMap = out.Map
-		l.agent.metrics.switches.Inc()
-		l.agent.log.Info().Str("event", "map_planned").Str("group", l.group.Name).Uint64("epoch", epoch).
-			Uint64("version", out.Map.Version).Int("copies", out.Copies).
-			Int64("pass_ms", l.agent.passTimer.meanDuration.Milliseconds()).Float64("busy", l.busyShare()).
-			Float64("skew_before", out.SkewBefore).Float64("skew_after", out.SkewAfter).Msg("")
+	if !l.mapSwitch.Start(out.Map, time.Now()) {
+		return
 	}
+	l.startedMap = out.Map
+	l.agent.metrics.switches.Inc()
+	l.agent.log.Info().Str("event", "map_planned").Str("group", l.group.Name).Uint64("epoch", epoch).
+		Uint64("version", out.Map.Version).Int("copies", out.Copies).Int64("plan_ms", time.Since(began).Milliseconds()).
+		Int64("pass_ms", l.agent.passTimer.meanDuration.Milliseconds()).Float64("busy", l.busyShare()).
+		Float64("skew_before", out.SkewBefore).Float64("skew_after", out.SkewAfter).Msg("")
+	l.agent.wakeLeader()
 }
 
 // minSlowPassTime is the relative pass time above which a rank counts as slow. Lesser
@@ -372,17 +460,17 @@
 // mapInUse returns the map with the given version: that of the last switch that
 // was started, or the one that the ranks report. It returns nil if neither is
 // known.
-func (l *leader) mapInUse(version uint64, now time.Time) *groupmap.Map {
+func (l *leader) mapInUse(version uint64) *groupmap.Map {
 	if l.startedMap != nil && l.startedMap.Version == version {
 		return l.startedMap
 	}
-	return l.popularity.mapInUse(version, now, maxPopularityAge)
+	return l.popularity.mapInUse(version)
 }
 
 // allRanksHeard reports whether no agent of the group is silent.
 func (l *leader) allRanksHeard(now time.Time) bool {
 	for rank := range l.group.Size {
-		if now.Sub(l.heardAt[rank]) >= silenceTimeout {
+		if now.Sub(l.heardAt[rank]) >= l.silenceTimeout {
 			return false
 		}
 	}
--- a/rankagent/leader_test.go
+++ b/rankagent/leader_test.go
@@ -26,7 +26,7 @@
 			l.observe(groupOf(rank), "agent", "r:1", state, 1, start)
 		}
 	}
-	now := start.Add(silenceTimeout + time.Millisecond)
+	now := start.Add(minSilenceTimeout + time.Millisecond)
 	for _, rank := range []int{1, 2, 3} {
 		l.observe(groupOf(rank), map[bool]string{false: "agent"}[rank == 1], "r:1", state, 2, now)
 	}
--- a/rankagent/popularity.go
+++ b/rankagent/popularity.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// popularityDecayTime is the time in which the weight of a count in load falls
-	// to 1/e. recentDecayTime is the same for recentLoad.
+	// popularityDecayTime is the least time in which the weight of a count in load
+	// falls to 1/e. recentDecayTime is the same for recentLoad.
 	popularityDecayTime = 450 * time.Millisecond
 	recentDecayTime     = 120 * time.Millisecond
+	// popularityDecayPeriods and recentDecayPeriods are the same times in periods in
+	// which each rank of a large group sends its counts once.
+	popularityDecayPeriods = 0.4
+	recentDecayPeriods     = 0.15
 	// shiftSkewThreshold is how much greater the skew under recentLoad must be
 	// than under load for older counts to be discarded: the difference shows that
 	// other experts are in demand than before.
@@ -28,6 +32,8 @@
 	load       []float64
 	recentLoad []float64
 	decayedAt  time.Time
+	// period is the time in which each rank sends its counts once.
+	period time.Duration
 	// reportedAt is when each rank last reported counts, and mapVersions the
 	// version that its heldExperts belong to.
 	reportedAt  []time.Time
@@ -80,8 +86,8 @@
 // decay reduces the weight of earlier counts.
 func (p *popularity) decay(now time.Time) {
 	if !p.decayedAt.IsZero() {
-		decayLoad(p.load, now.Sub(p.decayedAt), popularityDecayTime)
-		decayLoad(p.recentLoad, now.Sub(p.decayedAt), recentDecayTime)
+		decayLoad(p.load, now.Sub(p.decayedAt), max(popularityDecayTime, time.Duration(popularityDecayPeriods*float64(p.period))))
+		decayLoad(p.recentLoad, now.Sub(p.decayedAt), max(recentDecayTime, time.Duration(recentDecayPeriods*float64(p.period))))
 	}
 	p.decayedAt = now
 }
@@ -127,14 +133,14 @@
 }
 
 // mapInUse returns the map with the given version if all ranks have reported
-// their experts of that version within maxAge, otherwise nil.
-func (p *popularity) mapInUse(version uint64, now time.Time, maxAge time.Duration) *groupmap.Map {
+// their experts of that version, which do not change within an epoch; otherwise nil.
+func (p *popularity) mapInUse(version uint64) *groupmap.Map {
 	m := &groupmap.Map{Version: version, Experts: make([][][]uint16, p.sets)}
 	for set := range m.Experts {
 		m.Experts[set] = make([][]uint16, len(p.heldExperts))
 	}
 	for r, experts := range p.heldExperts {
-		if len(experts) != p.sets || p.sets == 0 || p.mapVersions[r] != version || now.Sub(p.reportedAt[r]) > maxAge {
+		if len(experts) != p.sets || p.sets == 0 || p.mapVersions[r] != version {
 			return nil
 		}
 		for set := range experts {
