Judge the wait for a slot by the turnover where there are many gateways

A gateway took its own rate of sent requests, some five a second, times 98 for that of all since the last statuses; one with twice the callers of the others, or with a clump, saw hundreds that were not there.

The more gateways there are, the more the estimate relies on the turnover of the slots.

Tried first: a weight by the error of the own rate as a sample. It either still refused at gateways with many callers or broke TestUnknownServersTakeWhatIsKnownOfThem.

--- a/backends/admit_test.go
+++ b/backends/admit_test.go
@@ -176,3 +176,29 @@
 	after := peak.observe(70*time.Millisecond, start.Add(200*time.Millisecond))
 	assert.Assert(t, after <= time.Duration(maxPeakRatio*70)*time.Millisecond, "%v", after)
 }
+
+// 98 gateways send 450 requests a second, unevenly, to 540 slots of which a fifth is
+// free. Each sees only a few a second of its own, in clumps. Hardly any may refuse a
+// request for a wait that there is not.
+func TestManyGatewaysRefuseHardlyAnythingWhileSlotsAreFree(t *testing.T) {
+	const (
+		gateways          = 98
+		arrivalsPerSecond = 450.0
+	)
+	rng := rand.New(rand.NewPCG(3, 4))
+	p := &pool{groups: 2, groupLoad: groupLoad{slots: 540, running: 430, reportAge: 400 * time.Millisecond, serviceTime: 950 * time.Millisecond}}
+	var meters [gateways]sendMeter
+	refused, sent := 0, 0
+	now := start
+	for range 10 * int(arrivalsPerSecond) {
+		now = now.Add(time.Duration(rng.ExpFloat64() / arrivalsPerSecond * float64(time.Second)))
+		meter := &meters[min(rng.IntN(gateways), rng.IntN(gateways))] // Some get twice the mean.
+		p.sendsPerSecond = meter.rateAt(now)
+		meter.record(now)
+		sent++
+		if !admit(newRequest(gateways), p, &pool{}).admitted {
+			refused++
+		}
+	}
+	assert.Assert(t, refused*100 <= sent, "%d of %d requests were refused", refused, sent)
+}
--- a/backends/load.go
+++ b/backends/load.go
@@ -25,6 +25,9 @@
 	// decays. The popularity of experts changes every few seconds, and each change
 	// delays the streams that run at that moment.
 	peakTimeConstant = 4 * time.Second
+	// representativeGateways is the number of gateways of which the own rate of sent
+	// requests tells as much as the turnover of the slots.
+	representativeGateways = 32
 	// rateTimeConstant is the time constant of the average rate of sent requests.
 	rateTimeConstant = time.Second
 )
@@ -68,14 +71,14 @@
 
 // expectedWait estimates how long a new request waits for a slot. gateways is the
 // number of gateways that send to the pool. Each knows only what it sent itself
-// since the last status, and assumes that the others send at the same rate.
+// since the last status, see arrivalsSinceReport.
 func (p *pool) expectedWait(gateways int) time.Duration {
 	if p.slots == 0 || p.serviceTime == 0 {
 		return 0
 	}
 	busy := float64(p.running + p.waiting)
-	arrived := p.sendsPerSecond * float64(max(1, gateways)) * p.reportAge.Seconds()
 	ended := min(busy, float64(p.slots)) * p.reportAge.Seconds() / p.serviceTime.Seconds()
+	arrived := p.arrivalsSinceReport(gateways, ended)
 	excess := busy + arrived - ended + 1 - float64(p.slots)
 	if excess <= 0 {
 		return 0
@@ -83,6 +86,19 @@
 	return time.Duration(float64(p.serviceTime) * excess / float64(p.slots))
 }
 
+// arrivalsSinceReport estimates how many requests all gateways have sent since the
+// statuses. The own rate stands for that of each gateway, but callers are spread
+// unevenly, and of many gateways one sees little: a few requests more in a second look
+// like hundreds. The more gateways there are, the more the estimate relies on ended,
+// the number of requests that have ended since, which as many arrive to replace while
+// the load is steady.
+func (p *pool) arrivalsSinceReport(gateways int, ended float64) float64 {
+	n := float64(max(1, gateways))
+	sampled := p.sendsPerSecond * n * p.reportAge.Seconds()
+	weight := 1 / (1 + (n/representativeGateways)*(n/representativeGateways))
+	return weight*sampled + (1-weight)*ended
+}
+
 // scalePassTime returns the duration of a pass with n requests on each rank, given
 // the duration that was measured while each rank ran the given number of requests.
 func scalePassTime(e *ingress.Engine, n int, measured time.Duration, running float64) time.Duration {
