Restore the store from older copies in the soak, and let servers ask for a backoff

The drill of the store and a server's 503 with Retry-After are kinds of faults now; a drained server says so itself as well.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -50,6 +50,7 @@
 		return func() func() { end := inject(); r.revokeKey(); return end }
 	}},
 	{"store history discarded", 0, func(r *testbed, _ *rand.Rand) func() func() { return r.discardStoreHistory }},
+	{"store restored from an older copy", 0, func(r *testbed, _ *rand.Rand) func() func() { return r.restoreStore }},
 	{"invalid server entry", 0, func(r *testbed, rng *rand.Rand) func() func() {
 		id := fmt.Sprintf("odd-%d", rng.IntN(100))
 		return func() func() { r.store.PutInvalidServer(id); return func() { r.store.RemoveServer(id) } }
@@ -76,6 +77,11 @@
 		}
 		return func() func() { s.SetFault(f); return func() { s.SetFault(platformtest.ServerFault{}) } }
 	}},
+	{"plain server asks for a backoff", 0, func(r *testbed, rng *rand.Rand) func() func() {
+		s := r.plainServers[rng.IntN(len(r.plainServers))]
+		backoff := time.Duration(rng.Int64N(int64(faultDurationSpread)))
+		return func() func() { s.SetBackoff(backoff); return func() { s.SetBackoff(0) } }
+	}},
 	{"plain server drained", 0, func(r *testbed, _ *rand.Rand) func() func() { return r.drainServer }},
 	{"popular experts change", 0, func(r *testbed, rng *rand.Rand) func() func() {
 		g := r.groups[rng.IntN(len(r.groups))]
@@ -221,6 +227,24 @@
 	return endFault
 }
 
+// restoreStore takes a copy of the store. At the end of the fault it restores the store
+// from it, and a moment later operators and servers write theirs again.
+func (r *testbed) restoreStore() func() {
+	older := r.store.Copy()
+	return func() {
+		endFault := r.history.beginFault(allGateways)
+		latest := r.store.Copy()
+		r.store.Restore(older)
+		time.Sleep(writeAgainDelay)
+		r.store.WriteAgain(latest)
+		endFault()
+	}
+}
+
+// writeAgainDelay is the time from a restore of the store until what it has lost is
+// written again.
+const writeAgainDelay = 700 * time.Millisecond
+
 func (r *testbed) degradeServerLink(id string, link *proxy, mode linkMode) func() func() {
 	return func() func() {
 		endFault := r.history.beginFault(id)
@@ -264,6 +288,7 @@
 		return func() {}
 	}
 	r.plainServers = slices.DeleteFunc(r.plainServers, func(p *plainServer) bool { return p == old })
+	old.SetLeaving()
 	old.entry.Draining = true
 	r.store.PutServer(old.entry)
 	r.history.recordDraining(old.ID)
