--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -82,6 +82,7 @@
 	sequence     uint64
 	report       Report
 	up           bool // Whether the last read of the server succeeded.
+	slow         bool // Whether the server was slow at the last read.
 	passTimer    passTimer
 	statusSentAt time.Time
 	// reportReadAt is when the last periodic read of the server began. orderedAt
@@ -189,6 +190,7 @@
 	switchProgressed := up && !equalExceptPass(report.State, a.report.State)
 	if up {
 		a.passTimer.observe(report, now)
+		a.recordSlowness(report)
 		a.report = report
 		a.leader.observe(report.Group, "", a.options.Server, report.State, a.sequence, now)
 		a.leader.requestsByRank[report.Group.Rank] = report.Running + report.Waiting
@@ -244,6 +246,19 @@
 	entry.Str("group", r.Group.Name).Uint64("epoch", r.Group.Epoch).Int("rank", r.Group.Rank).Bool("open", r.State.Open).Msg("")
 }
 
+// recordSlowness records how slow the server is, and logs when it becomes slow and when
+// it is no longer. The caller holds a.mu.
+func (a *Agent) recordSlowness(r Report) {
+	a.metrics.relativePassTime.Store(int64(r.RelativePassTime * paceUnit))
+	slow := r.RelativePassTime > minSlowPassTime
+	if slow == a.slow {
+		return
+	}
+	a.slow = slow
+	a.log.Info().Str("event", "server_slow").Bool("slow", slow).Str("group", r.Group.Name).Int("rank", r.Group.Rank).
+		Float64("relative_pass_time", r.RelativePassTime).Int("running", r.Running).Msg("")
+}
+
 // statusMessage returns the last report as a message. The caller holds a.mu.
 func (a *Agent) statusMessage() *meshpb.RankStatus {
 	r := a.report
--- a/rankagent/metrics.go
+++ b/rankagent/metrics.go
@@ -15,12 +15,15 @@
 	// skew is the skew of the map in use at the last plan, see groupmap.Skew, in
 	// thousandths.
 	skew atomic.Int64
+	// relativePassTime is that of the last report, in units of 1/paceUnit.
+	relativePassTime atomic.Int64
 }
 
 func newAgentMetrics(a *Agent) *agentMetrics {
 	set := metrics.NewSet()
 	m := &agentMetrics{set: set, switches: set.NewCounter("bluebellwind_map_switches_total")}
 	set.NewGauge("bluebellwind_rank_skew", func() float64 { return float64(m.skew.Load()) / 1000 })
+	set.NewGauge("bluebellwind_rank_relative_pass_time", func() float64 { return float64(m.relativePassTime.Load()) / paceUnit })
 	set.NewGauge("bluebellwind_rank_up", func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
