Mend six faults found by reading

Each has a test that failed first, for the cause given: - a request without a deadline was taken for one whose deadline passed long ago, and so never fitted a late group (TestRequestWithoutADeadline...); - the pass times of all groups were scaled by the engine of whichever service was looked at (TestPassTimesAreScaledByTheOwnEngine); - ranks that are down counted as idle in the mean of their group (TestRanksThatAreDownDoNotCountInTheMean); - a status of a rank beyond the group's size was counted (TestStatusOfAnImpossibleRank...); - the dimensions of maps stayed those of the group's first size (TestDimensionsAreReadAgain...); - a copy of no measurable length divided by zero (TestPlanLimitsBearAnyConfiguration).

--- a/backends/directory_test.go
+++ b/backends/directory_test.go
@@ -169,3 +169,39 @@
 	h.recordFailure(now.Add(exclusionResetAfter+2*time.Second), true)
 	assert.Equal(t, h.excludedUntil.Sub(now.Add(exclusionResetAfter+2*time.Second)), firstExclusion)
 }
+
+// Two services with different engines. The pass times of one must not be scaled by the
+// costs of the other's engine.
+func TestPassTimesAreScaledByTheOwnEngine(t *testing.T) {
+	d := newTwoGroupDirectory()
+	other := rankServer(9, 0, 1, true)
+	other.Service = "other"
+	d.Put(other)
+	for _, s := range []Server{rankServer(0, 0, 1, true), other} {
+		status := Status{Up: true, Open: true, Group: s.Group, Running: 1, PassTime: 100 * time.Millisecond, ReceivedAt: start}
+		d.UpdateStatus(s.Address, status)
+	}
+	steep := &ingress.Engine{Slots: 30, Step: time.Millisecond, PerSequence: time.Millisecond}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.updatePassTimes("other", steep, start)
+	assert.Assert(t, d.groups["g9"].fullPassTime > time.Second)
+	assert.Assert(t, d.groups["g0"] == nil || d.groups["g0"].fullPassTime == 0, "the group of another service was scaled")
+}
+
+// A rank that is down runs nothing. Counted as one, it makes the others look idle and
+// their passes longer than they are.
+func TestRanksThatAreDownDoNotCountInTheMean(t *testing.T) {
+	d := newTwoGroupDirectory()
+	for rank := range 4 {
+		s := rankStatus(0, rank, 1, rank != 3, true, start)
+		s.Running = 3
+		if rank == 3 {
+			s.Running = 0
+		}
+		d.UpdateStatus(rankServer(0, rank, 1, true).Address, s)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	assert.Equal(t, d.meanRunningPerRank()["g0"], 3.0)
+}
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -277,7 +277,7 @@
 		if e.PrefillPerSecond > 0 {
 			v.PrefillPerToken = time.Duration(float64(time.Second) / e.PrefillPerSecond)
 		}
-		d.updatePassTimes(e, now)
+		d.updatePassTimes(r.ServiceName, e, now)
 	}
 	closed := d.closedGroups(now)
 	stalled := d.stalledGroups()
@@ -301,14 +301,15 @@
 	return v
 }
 
-// updatePassTimes updates the pass times of all groups from the latest statuses. It
-// estimates the time with all slots in use by the costs of e.
+// updatePassTimes updates the pass times of the groups of a service from the latest
+// statuses. It estimates the time with all slots in use by the costs of its engine.
 // The caller holds the lock.
-func (d *Directory) updatePassTimes(e *ingress.Engine, now time.Time) {
+func (d *Directory) updatePassTimes(service string, e *ingress.Engine, now time.Time) {
 	running := d.meanRunningPerRank()
 	passTimes := make(map[string]time.Duration)
-	for _, s := range d.statuses {
-		if s.Up && s.PassTime > 0 {
+	for _, server := range d.servers {
+		s, reported := d.statuses[server.Address]
+		if server.Service == service && reported && s.Up && s.PassTime > 0 {
 			passTimes[s.Group.Name] = max(passTimes[s.Group.Name], s.PassTime)
 		}
 	}
@@ -332,14 +333,16 @@
 	return stalled
 }
 
-// meanRunningPerRank returns the mean number of running requests per rank of each
-// group. The caller holds the lock.
+// meanRunningPerRank returns the mean number of running requests of the ranks of each
+// group that are up. The caller holds the lock.
 func (d *Directory) meanRunningPerRank() map[string]float64 {
 	meanRunning := make(map[string]float64)
 	rankCounts := make(map[string]float64)
 	for _, s := range d.statuses {
-		meanRunning[s.Group.Name] += float64(s.Running)
-		rankCounts[s.Group.Name]++
+		if s.Up {
+			meanRunning[s.Group.Name] += float64(s.Running)
+			rankCounts[s.Group.Name]++
+		}
 	}
 	for name := range meanRunning {
 		meanRunning[name] /= rankCounts[name]
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -138,7 +138,7 @@
 		Service: x.service, ServiceName: x.serviceName, PromptTokens: x.call.PromptTokens,
 		AnswerTokens: x.call.LengthHint,
 		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups,
-		StartObjective: x.route.Objective, UntilDeadline: time.Until(x.deadline),
+		StartObjective: x.route.Objective, UntilDeadline: x.untilDeadline(),
 		TimeLimit: x.route.Timeout, MaxPause: x.route.PauseObjective, RefusedBefore: x.callerRetry, SentBefore: x.sendCount > 0, GatewayCount: x.g.gatewayCount(),
 	}
 	choice, err := x.g.directory.Pick(request, time.Now())
@@ -149,6 +149,15 @@
 	return x.g.directory.Pick(request, time.Now())
 }
 
+// untilDeadline returns the time left until the deadline: zero if there is none, and
+// more than zero if there is one, even if it has passed.
+func (x *exchange) untilDeadline() time.Duration {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(x.deadline))
+}
+
 // verdict returns whether the request may have run.
 func (x *exchange) verdict() verdict.Verdict {
 	if x.mayHaveRun {
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -30,3 +30,14 @@
 	assert.Assert(t, !isCallerRetry(0, timeout), "the caller states nothing")
 	assert.Assert(t, !isCallerRetry(2500*time.Millisecond, 1200*time.Millisecond), "the caller waits longer than the route")
 }
+
+// A request without a deadline has no time left to compare with. It was once taken for
+// one whose deadline passed long ago.
+func TestRequestWithoutADeadlineHasNoTimeLeftToState(t *testing.T) {
+	x := &exchange{}
+	assert.Equal(t, x.untilDeadline(), time.Duration(0))
+	x.deadline = time.Now().Add(time.Minute)
+	assert.Assert(t, x.untilDeadline() > 50*time.Second)
+	x.deadline = time.Now().Add(-time.Second)
+	assert.Assert(t, x.untilDeadline() > 0, "a deadline that has passed is not the same as none")
+}
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -299,7 +299,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s.Group == "" || s.Group != a.report.Group.Name {
+	if s.Group == "" || s.Group != a.report.Group.Name || int(s.Rank) >= a.report.Group.Size {
 		return
 	}
 	if a.report.Group.Rank == initiatorRank && (s.Prepared != 0 || s.ArmedVersion != 0) {
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -111,6 +111,7 @@
 	l.requestsByRank = make(map[int]int)
 	l.passTimes = make(map[int]float64)
 	l.startedMap = nil
+	l.shape, l.engineConfig = groupmap.Shape{}, nil // They are read again.
 	l.silenceTimeout = minSilenceTimeout
 	l.mapSwitch = groupmap.NewSwitch(g.Size, g.Rank == initiatorRank, groupmap.SwitchTiming{
 		PrepareResendInterval: minPrepareResendInterval + time.Duration(g.Size)*prepareResendPerRank,
--- a/rankagent/leader_test.go
+++ b/rankagent/leader_test.go
@@ -8,6 +8,9 @@
 
 	"bluebellwind.example/backends"
 	"bluebellwind.example/groupmap"
+	"bluebellwind.example/ingress"
+	"bluebellwind.example/mesh"
+	"bluebellwind.example/mesh/meshpb"
 )
 
 // Guards against a failure in the scenario leader-agents-die: the agent of rank
@@ -42,3 +45,33 @@
 	}
 	assert.Equal(t, len(l.silentRanksToRead(now.Add(remoteReadPeriod))), 0, "remote reads have a cost and are not needed once the switch has settled")
 }
+
+// A status that names a rank beyond the group must change nothing.
+func TestStatusOfAnImpossibleRankIsIgnored(t *testing.T) {
+	a := &Agent{}
+	a.leader.agent = a
+	group := backends.Group{Name: "g", Epoch: 1, Rank: 1, Size: 4}
+	a.report.Group = group
+	a.leader.observe(group, "", "r1:1", groupmap.RankState{Epoch: 1}, 1, time.Unix(1000, 0))
+	a.handleStatus(mesh.Peer{ID: "x"}, &meshpb.RankStatus{Up: true, Group: "g", Epoch: 1, Rank: 9, Running: 7})
+	assert.Equal(t, len(a.leader.requestsByRank), 0)
+	assert.Equal(t, len(a.leader.peers), 0)
+	a.handleStatus(mesh.Peer{ID: "y"}, &meshpb.RankStatus{Up: true, Group: "g", Epoch: 1, Rank: 2, Running: 7})
+	assert.Equal(t, a.leader.requestsByRank[2], 7)
+}
+
+// The dimensions of the maps follow from the size of the group.
+func TestDimensionsAreReadAgainWhenTheGroupChangesSize(t *testing.T) {
+	l := &leader{agent: &Agent{}}
+	l.joinGroup(backends.Group{Name: "g", Epoch: 1, Size: 8})
+	l.shape = groupmap.Shape{Sets: 6, Ranks: 8}
+	l.joinGroup(backends.Group{Name: "g", Epoch: 2, Size: 12})
+	assert.Equal(t, l.shape, groupmap.Shape{})
+}
+
+func TestPlanLimitsBearAnyConfiguration(t *testing.T) {
+	for _, e := range []ingress.Experts{{}, {MegabytesEach: 1e-12, LinkMbps: 1e12}, {MegabytesEach: 1e12, LinkMbps: 1e-12}} {
+		limits := planLimits(e, 8, 0)
+		assert.Assert(t, limits.MaxCopies >= 8, "%+v", limits)
+	}
+}
--- a/rankagent/planner.go
+++ b/rankagent/planner.go
@@ -18,6 +18,9 @@
 	// average: popularity changes within seconds, and passes take longer during
 	// the copy. A plan may always copy one expert for each rank.
 	maxCopyDuration = 200 * time.Millisecond
+	// maxCopiesEach bounds the experts that one plan copies to each rank, on average,
+	// however fast the link is.
+	maxCopiesEach = 1000
 	// minGainPerGigabyte is the least gain, see groupmap.Limits, that justifies
 	// copying one gigabyte in a group of referenceRanks ranks. The required gain
 	// is inversely proportional to the number of ranks, since a larger group
@@ -42,8 +45,8 @@
 	minGainPerCopy := minGainPerGigabyte * e.MegabytesEach / 1000 * referenceRanks / float64(max(1, ranks))
 	limits := groupmap.Limits{TargetSkew: targetSkew, MaxCopies: ranks, MinGainPerCopy: gainFactor * minGainPerCopy}
 	if e.MegabytesEach > 0 && e.LinkMbps > 0 {
-		copyDuration := time.Duration(e.MegabytesEach * 8 / e.LinkMbps * float64(time.Second))
-		limits.MaxCopies = ranks * max(1, int(maxCopyDuration/copyDuration))
+		copies := maxCopyDuration.Seconds() * e.LinkMbps / (e.MegabytesEach * 8)
+		limits.MaxCopies = ranks * int(min(maxCopiesEach, max(1, copies)))
 	}
 	return limits
 }
@@ -167,7 +170,7 @@
 		defer l.agent.mu.Unlock()
 		l.readingShape = false
 		l.plannedAt = time.Now().Add(configRetryDelay)
-		if engine != nil {
+		if engine != nil && l.group.Size == group.Size {
 			l.engineConfig, l.shape = engine, shapeOf(engine.Experts, group.Size)
 			l.plannedAt = time.Time{}
 		}
