Tell a server that was given up from one that failed, and log panics

A stream that is cut says given_up=true and the cause if its last server was silent but had not failed, with a counter; a panic of a handler has a line and a counter; a drain that cuts says how many requests. No decision changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -70,6 +70,9 @@
 	choice *backends.Choice
 	// failureCause is why the latest attempt failed, for the log.
 	failureCause string
+	// serverGivenUp is set if the latest attempt ended because the server was silent,
+	// although it had not failed.
+	serverGivenUp bool
 }
 
 // attemptOutcome is the result of sending the request to one server.
@@ -201,7 +204,7 @@
 func (x *exchange) sendTo(choice *backends.Choice) attemptOutcome {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	x.failureCause = ""
+	x.failureCause, x.serverGivenUp = "", false
 	mayHaveRunBefore := x.mayHaveRun
 	response, err := x.g.pool.Send(ctx, x.newUpstreamRequest(choice))
 	if err != nil {
@@ -305,7 +308,7 @@
 	if x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
-	x.failureCause = err.Error()
+	x.failureCause, x.serverGivenUp = err.Error(), errors.Is(err, upstream.ErrSilent)
 	if !errors.Is(err, upstream.ErrBusy) {
 		x.g.directory.RecordFailure(choice.ID, !sent, time.Now())
 	}
@@ -339,6 +342,7 @@
 // aborts the response so that the caller does not take it for complete.
 func (x *exchange) refuseOrAbort(e *verdict.Error) {
 	if x.headerSent {
+		x.g.metrics.countBrokenOff(x.serverGivenUp)
 		x.g.logResponseEnd(x, "broken_off", e.Reason)
 		panic(http.ErrAbortHandler)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,7 +226,7 @@
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		g.log.Warn().Str("event", "drain_cut").Msg("")
+		g.log.Warn().Str("event", "drain_cut").Int64("requests", g.metrics.activeRequests.Load()).Msg("")
 		err = server.Close()
 	}
 	if err != nil {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"errors"
+	"fmt"
+	"net/http"
 	"time"
 
 	"bluebellwind.example/backends"
@@ -45,10 +48,27 @@
 		entry = entry.Str("server", c.ID).Str("group", c.Group.Name).Int("running", c.Running).Int("waiting", c.Waiting).
 			Int64("status_age_ms", statusAgeMillis(c)).Int64("expected_wait_ms", c.ExpectedWait.Milliseconds())
 	}
+	if event == "broken_off" {
+		entry = entry.Str("cause", x.failureCause).Bool("given_up", x.serverGivenUp)
+	}
 	entry.Int("sends", x.sendCount).Int("events", x.eventCount).Int64("first_ms", x.firstEventLatency.Milliseconds()).
 		Int64("elapsed_ms", elapsed.Milliseconds()).Msg("")
 }
 
+// logPanic logs a panic of a handler, other than the one that aborts a response, and
+// goes on with it; net/http prints the stack. It must be deferred.
+func (g *Gateway) logPanic(x *exchange) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		g.metrics.countPanic()
+		g.log.Error().Str("event", "panic").Str("request", x.call.ID).Str("cause", fmt.Sprint(cause)).Int("sends", x.sendCount).Msg("")
+	}
+	panic(cause)
+}
+
 // logRefusal logs a refusal by the gateway itself and the state that led to it.
 func (g *Gateway) logRefusal(x *exchange, e *verdict.Error, status int) {
 	proofAge, hasProof := g.follower.ProofAge()
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -48,7 +48,17 @@
 	got := h.send("/stream/x", "Id", "cut-1")
 	assert.Assert(t, got.err != nil)
 	assertLogged(t, h.logLines("cut-1"), "event=retry", "events=3", "the answer broke off", "event=no_retry",
-		`why="the route allows no further server"`, "event=broken_off", "events=5", "sends=2")
+		`why="the route allows no further server"`, "event=broken_off", "given_up=false", "events=5", "sends=2")
+}
+
+func TestPanicOfAHandlerIsExplained(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
+	h.start()
+	h.gateway.directory = nil
+	got := h.send("/again/x", "Id", "panic-1")
+	assert.Assert(t, got.err != nil)
+	assertLogged(t, h.logLines("panic-1"), "event=panic", "cause=")
 }
 
 func TestStaleProofIsExplained(t *testing.T) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,6 +57,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_tries_failed_total{then=%q}", event)).Inc()
 }
 
+// countBrokenOff counts a response that was cut after its header had been sent.
+// serverGivenUp says that its last server was silent but had not failed.
+func (m *gatewayMetrics) countBrokenOff(serverGivenUp bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_answers_broken_off_total{given_up=\"%t\"}", serverGivenUp)).Inc()
+}
+
+func (m *gatewayMetrics) countPanic() {
+	m.set.GetOrCreateCounter("bluebellwind_panics_total").Inc()
+}
+
 // countWithdrawal counts a server that wants no requests, for good or for a time.
 func (m *gatewayMetrics) countWithdrawal(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_server_withdrawals_total{kind=%q}", kind)).Inc()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -67,7 +67,7 @@
 	if x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
-	x.failureCause = "the answer broke off: " + err.Error()
+	x.failureCause, x.serverGivenUp = "the answer broke off: "+err.Error(), errors.Is(err, upstream.ErrSilent)
 	x.g.directory.RecordFailure(choice.ID, false, time.Now())
 	return outcomeFailed
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,6 +32,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	x := &exchange{g: g, w: w, r: r, call: g.headerCodec.ParseRequest(r.Header), arrived: arrived}
+	defer g.logPanic(x)
 	if refusal := g.admit(x); refusal != nil {
 		g.refuse(x, refusal)
 		return
