Show that a silent server is given up before another takes over

Four tests that fail on this code: a stream whose server was silent for 1.6 s is cut ('unexpected EOF' after two of four events) though that server goes on, if the second server refuses, closes, fails or is silent too, if there is no second server, or if another stream took the last retry of the budget (two of eight streams cut); and a slow plain answer becomes a 502.

--- /dev/null
+++ b/gateway/silence_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// silentSpell is longer than the gateway waits for an event before it tries another
+	// server.
+	silentSpell = maxStall + 300*time.Millisecond
+	// silenceTimeout is the timeout of routes whose servers are silent for a while.
+	silenceTimeout = 6 * time.Second
+)
+
+// writeEventsWithSilence writes a whole stream of four events, with a silent spell
+// after the second.
+func writeEventsWithSilence(c net.Conn, r *http.Request) {
+	writeEvents(c, r, 1, 2, false)
+	time.Sleep(silentSpell)
+	for i := 3; i <= 4; i++ {
+		ev := eventText(i, i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+	}
+	_, _ = c.Write([]byte("0\r\n\r\n"))
+}
+
+// A stream whose server was silent for a while was broken off because the server that
+// should have taken over refused it.
+func TestSilentServerIsKeptWhenTheOtherRefuses(t *testing.T) {
+	refusals := map[string]func(net.Conn, *http.Request){
+		"refuses": func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "", "Not-Run: 1") },
+		"closes":  func(c net.Conn, _ *http.Request) { c.Close() },
+		"fails":   func(c net.Conn, r *http.Request) { writeResponse(c, r, 500, "no") },
+		"silent":  func(net.Conn, *http.Request) { time.Sleep(silenceTimeout) },
+	}
+	for name, refuse := range refusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.timeout = silenceTimeout
+			addFailoverServers(h, writeEventsWithSilence, refuse)
+			h.start()
+			got := h.send("/stream/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 4))
+		})
+	}
+}
+
+// A stream whose server was silent for a while was broken off because no other server
+// could take over.
+func TestSilentServerIsKeptWithoutAnother(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = silenceTimeout
+	h.addServer("a", writeEventsWithSilence)
+	h.start()
+	got := h.send("/stream/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 4))
+}
+
+// Streams that fell silent together were broken off because each had seen the same last
+// retry of the budget.
+func TestSilentServersAreKeptWhenTheBudgetIsTaken(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = silenceTimeout
+	h.freeRetries = 1
+	h.addServer("a", writeEventsWithSilence)
+	h.addServer("b", writeEventsWithSilence)
+	h.start()
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			got := h.send("/stream/x", "Id", fmt.Sprint(i))
+			assert.Check(t, got.err)
+			assert.Check(t, got.body == eventText(1, 4), got.body)
+		})
+	}
+	callers.Wait()
+}
+
+// A caller got a failure because its slow server was given up for one that refused.
+func TestSlowServerIsKeptWhenTheOtherRefuses(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = silenceTimeout
+	addFailoverServers(h,
+		func(c net.Conn, r *http.Request) {
+			time.Sleep(600 * time.Millisecond)
+			writeResponse(c, r, 200, "slow")
+		},
+		func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "", "Not-Run: 1") })
+	h.start()
+	got := h.send("/again/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "slow")
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -107,6 +107,10 @@
 	engine *ingress.Engine
 	// maxProofAge is short in tests that wait until the proof is stale.
 	maxProofAge time.Duration
+	// freeRetries is the retry budget.
+	freeRetries float64
+	// timeout is the timeout of all routes.
+	timeout time.Duration
 }
 
 const (
@@ -149,7 +153,7 @@
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	return &harness{t: t, source: &fakeSource{}, maxProofAge: longProofAge}
+	return &harness{t: t, source: &fakeSource{}, maxProofAge: longProofAge, freeRetries: 100, timeout: 2 * time.Second}
 }
 
 // addServer adds a backend server that handles each request with handle.
@@ -194,7 +198,7 @@
 	route := func(name string, kind ingress.RouteKind, attempts int) ingress.Route {
 		return ingress.Route{
 			Name: name, Host: "127.0.0.1", Prefix: "/" + name + "/", Repeat: kind, Split: split, MaxAttempts: attempts,
-			Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, Resumable: kind == ingress.Stream,
+			Timeout: h.timeout, Objective: 300 * time.Millisecond, Resumable: kind == ingress.Stream,
 		}
 	}
 	public := route("public", ingress.Idempotent, 2)
@@ -220,7 +224,7 @@
 	go follower.Run(ctx)
 	h.gateway = New(Options{
 		HeaderCodec: testHeaderCodec{}, Follower: follower, Directory: directory, GatewayCount: func() int { return 1 }, Log: logger,
-		Limits: Limits{MaxProofAge: h.maxProofAge, RetryWindow: retry.WindowConfig{Span: 10 * time.Second, FreeRetries: 100}},
+		Limits: Limits{MaxProofAge: h.maxProofAge, RetryWindow: retry.WindowConfig{Span: 10 * time.Second, FreeRetries: h.freeRetries}},
 	})
 	server := h.gateway.newCallerServer()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
