Ask at each read whether a silent server is waited for

Callers got a 502, or a cut stream, when a server paused for over 1.5 s within an event or a body: the deadline that was set when the response began to arrive stayed in force for all that followed, whether anybody wanted to give the server up or not. Each read now asks the policy (KeepWaiting) after each tenth of a second without a byte, from the request to the end of the response, and no read has a limit of its own.

TestPauseInABodyIsWaitedFor and TestSilenceInABodyIsGivenUpWhenAsked fail on the code before ('i/o timeout' after 1.5 s) and pass now. The test that used WaitForData, which is gone, now checks the same end of a chunked body with a policy that gives up at its first question.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -76,7 +76,3 @@
 		ev.id, ev.hasID = id, true
 	}
 }
-
-// buffered reports whether bytes of the next event have already been read from
-// the stream.
-func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -70,26 +70,50 @@
 // whether to keep waiting. It ends the wait only if the request may be sent to
 // another server.
 func (x *exchange) waitPolicy(choice *backends.Choice) func(time.Duration) bool {
-	initial, initialKnown := x.g.directory.StatusOf(choice.ID)
-	return func(duration time.Duration) bool {
-		current, currentKnown := x.g.directory.StatusOf(choice.ID)
-		s := stall{
-			duration:       duration,
-			objective:      x.route.Objective,
-			stream:         x.route.Repeat == ingress.Stream,
-			eventsReceived: x.eventCount > 0,
-			statusKnown:    initialKnown && currentKnown && current.Group.Epoch == initial.Group.Epoch,
-			unavailable:    !current.Up || !current.Open,
-			slowsGroup:     x.route.Resumable && x.g.directory.SlowsGroup(&choice.Server, x.service, x.route.PauseObjective),
-			requestsQueued: current.Waiting > 0,
-		}
-		if s.statusKnown {
-			s.passes = current.LastPass - min(current.LastPass, initial.LastPass)
-		}
+	wait := waitObserver{directory: x.g.directory, server: choice.ID}
+	return func(silence time.Duration) bool {
+		s := wait.observe(silence)
+		s.objective = x.route.Objective
+		s.stream = x.route.Repeat == ingress.Stream
+		s.eventsReceived = x.eventCount > 0
+		s.slowsGroup = x.route.Resumable && x.g.directory.SlowsGroup(&choice.Server, x.service, x.route.PauseObjective)
 		return !s.shouldFailOver() || x.cannotRetry()
 	}
 }
 
+// waitObserver observes a server while it sends nothing. It is used for one wait after
+// the other.
+type waitObserver struct {
+	directory *backends.Directory
+	server    string
+	// observedAt is when the current wait was last observed.
+	observedAt time.Time
+	// initial is the status of the server when the current wait was first observed.
+	initial      backends.Status
+	initialKnown bool
+}
+
+// observe returns what is known of the server. A silence that began after the last
+// observation is another wait.
+func (w *waitObserver) observe(silence time.Duration) stall {
+	now := time.Now()
+	current, known := w.directory.StatusOf(w.server)
+	if now.Add(-silence).After(w.observedAt) {
+		w.initial, w.initialKnown = current, known
+	}
+	w.observedAt = now
+	s := stall{
+		duration:       silence,
+		statusKnown:    w.initialKnown && known && current.Group.Epoch == w.initial.Group.Epoch,
+		unavailable:    !current.Up || !current.Open,
+		requestsQueued: current.Waiting > 0,
+	}
+	if s.statusKnown {
+		s.passes = current.LastPass - min(current.LastPass, w.initial.LastPass)
+	}
+	return s
+}
+
 // cannotRetry reports whether the request may not be sent to another server, so
 // that the gateway can only wait for the current one.
 func (x *exchange) cannotRetry() bool {
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/backends"
 )
 
 func TestSilenceIsHopeless(t *testing.T) {
@@ -27,3 +29,18 @@
 		assert.Equal(t, c.s.shouldFailOver(), c.want, name)
 	}
 }
+
+func TestPassesAreCountedWithinOneSilence(t *testing.T) {
+	directory := backends.NewDirectory("z", 1)
+	directory.Put(backends.Server{ID: "a", Address: "10.0.0.1:1"})
+	observer := waitObserver{directory: directory, server: "a"}
+	observe := func(pass uint64, silence time.Duration) uint64 {
+		directory.UpdateStatus("10.0.0.1:1", backends.Status{Up: true, Open: true, LastPass: pass, ReceivedAt: time.Now()})
+		time.Sleep(2 * time.Millisecond)
+		return observer.observe(silence).passes
+	}
+	assert.Equal(t, observe(10, time.Millisecond), uint64(0))
+	assert.Equal(t, observe(13, time.Second), uint64(3), "the same silence")
+	assert.Equal(t, observe(14, time.Millisecond), uint64(0), "another silence of the same length")
+	assert.Equal(t, observe(15, time.Millisecond), uint64(0))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -93,11 +93,6 @@
 func (x *exchange) relayStream(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
 	reader := newEventReader(response)
 	for {
-		if !reader.buffered() {
-			if err := response.WaitForData(x.waitPolicy(choice)); err != nil {
-				return x.handleBodyError(choice, err)
-			}
-		}
 		ev, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(choice, response, metadata)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -62,6 +62,9 @@
 	idleSince time.Time
 	// idleLimit is how long the connection may stay idle.
 	idleLimit time.Duration
+	// keepWaiting is Request.KeepWaiting of the current request; nil while the
+	// connection is idle.
+	keepWaiting func(silence time.Duration) bool
 }
 
 // NewPool returns an empty pool.
@@ -160,13 +163,9 @@
 		p.decrementOpen(address)
 		return nil, err
 	}
-	return &conn{
-		Conn:      raw,
-		address:   address,
-		reader:    bufio.NewReaderSize(raw, readBufferBytes),
-		writer:    bufio.NewWriterSize(raw, writeBufferBytes),
-		idleLimit: idleTimeout,
-	}, nil
+	c := &conn{Conn: raw, address: address, writer: bufio.NewWriterSize(raw, writeBufferBytes), idleLimit: idleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // release returns a connection to the pool. It must carry no unfinished request or
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -19,12 +19,8 @@
 // silence.
 const waitPollInterval = 100 * time.Millisecond
 
-// partialReadTimeout bounds the reads that follow awaitData, from the moment at which
-// it has seen data until it is called again.
-const partialReadTimeout = 1500 * time.Millisecond
-
 // ErrSilent says that the server sent nothing until KeepWaiting returned false.
-// Pool.Send returns it as the cause of an *Error.
+// Pool.Send returns it as the cause of an *Error, and Response.Read as it is.
 var ErrSilent = errors.New("the server is silent")
 
 // maxMismatchedResponses is how many responses to other requests are skipped on a
@@ -48,9 +44,10 @@
 	// Matches reports whether a response belongs to this request; nil accepts every
 	// response.
 	Matches func(http.Header) bool
-	// KeepWaiting is called every waitPollInterval while the server sends
-	// nothing. The request is aborted when it returns false; nil waits without
-	// limit.
+	// KeepWaiting is called every waitPollInterval while the server sends nothing,
+	// from when the request is sent to the end of the response, with the time since
+	// the wait began. The read fails when it returns false; nil waits without limit.
+	// It is called by the goroutine that reads.
 	KeepWaiting func(silence time.Duration) bool
 	// BeforeSend is called once the connection is open and before anything is
 	// sent. If it returns an error, nothing is sent.
@@ -96,6 +93,7 @@
 			return nil, err
 		}
 	}
+	c.keepWaiting = r.KeepWaiting
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	response, failure := p.roundTrip(c, r)
 	if failure != nil {
@@ -169,9 +167,6 @@
 // request, which a faulty server may send late.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	for skipped := 0; ; {
-		if err := c.awaitData(r.KeepWaiting); err != nil {
-			return nil, err
-		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -191,38 +186,25 @@
 	}
 }
 
-// awaitData returns once the server has sent data, and sets the deadline for reading
-// it. Without keepWaiting it does nothing, and the reads that follow block.
-func (c *conn) awaitData(keepWaiting func(time.Duration) bool) error {
-	if keepWaiting == nil {
-		return nil
+// Read implements net.Conn. While the server sends nothing, it asks keepWaiting
+// whether to go on.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.keepWaiting == nil {
+		return c.Conn.Read(b)
 	}
 	began := time.Now()
-	for c.reader.Buffered() == 0 {
+	for {
 		if err := c.SetReadDeadline(time.Now().Add(waitPollInterval)); err != nil {
-			return err
-		}
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			break
+			return 0, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
 		}
-		if !keepWaiting(time.Since(began)) {
-			return ErrSilent
+		if !c.keepWaiting(time.Since(began)) {
+			return 0, ErrSilent
 		}
 	}
-	return c.SetReadDeadline(time.Now().Add(partialReadTimeout))
-}
-
-// WaitForData returns once more of the body, or its end, has arrived. The error is
-// ErrSilent if keepWaiting returns false.
-func (r *Response) WaitForData(keepWaiting func(silence time.Duration) bool) error {
-	if r.complete {
-		return nil
-	}
-	return r.conn.awaitData(keepWaiting)
 }
 
 // Read implements io.Reader on the body. io.EOF means that the body is complete.
@@ -250,6 +232,7 @@
 		r.pool.discard(r.conn)
 		return
 	}
+	r.conn.keepWaiting = nil
 	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
 		r.pool.discard(r.conn)
 		return
--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -196,8 +196,8 @@
 	assert.Assert(t, time.Since(began) < 2*time.Second)
 }
 
-// The end of a chunked body may arrive together with its last bytes.
-// WaitForData must then not wait for more data.
+// The end of a chunked body may arrive together with its last bytes. Nothing must then
+// be waited for.
 func TestEndThatCameWithTheLastBytesIsNotWaitedFor(t *testing.T) {
 	address, _ := startBackend(t, func(c net.Conn, r *bufio.Reader) {
 		readRequest(r)
@@ -205,13 +205,38 @@
 		readRequest(r)
 	})
 	r := newRequest(address, "1")
-	never := func(time.Duration) bool { return false }
-	response, err := upstream.NewPool().Send(context.Background(), r)
+	r.KeepWaiting = func(time.Duration) bool { return false }
+	body, err := sendAndRead(t, upstream.NewPool(), r)
 	assert.NilError(t, err)
-	defer response.Close()
-	_, err = io.ReadAll(response)
+	assert.Equal(t, body, "last")
+}
+
+// A response whose body paused for longer than 1.5 s was cut although nobody had asked
+// for that.
+func TestPauseInABodyIsWaitedFor(t *testing.T) {
+	address, _ := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 8\r\n\r\nhalf")
+		time.Sleep(1700 * time.Millisecond)
+		_, _ = io.WriteString(c, "half")
+	})
+	r := newRequest(address, "1")
+	r.KeepWaiting = func(time.Duration) bool { return true }
+	body, err := sendAndRead(t, upstream.NewPool(), r)
 	assert.NilError(t, err)
-	assert.NilError(t, response.WaitForData(never))
+	assert.Equal(t, body, "halfhalf")
+}
+
+func TestSilenceInABodyIsGivenUpWhenAsked(t *testing.T) {
+	address, _ := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 8\r\n\r\nhalf")
+		readRequest(r)
+	})
+	r := newRequest(address, "1")
+	r.KeepWaiting = func(silence time.Duration) bool { return silence < 250*time.Millisecond }
+	_, err := sendAndRead(t, upstream.NewPool(), r)
+	assert.ErrorIs(t, err, upstream.ErrSilent)
 }
 
 func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
