Keep a silent server until another has an answer

Callers saw streams cut, and plain requests fail, although their server was sound and went on: after 0.5 to 1.3 s of silence the gateway closed the connection to it and only then looked for another. If the budget had gone to another request meanwhile, if no server could be chosen, or if the second one refused, closed, failed or was silent too, nothing was left (two attempts are allowed), and what had begun was broken off.

Cause: an attempt was given up on the expectation of a successor. Now a silent server is only given company: the second attempt (the standby) runs beside it, is paid for and placed before anything ends, and takes over with its first event or answer. If the first server speaks, the standby is cancelled; if the standby has nothing, the first is waited for. Attempts, budget and what may be repeated are decided as before; a standby that may have run is never called not run.

Ruled out: claiming the retry first and then closing; the second server may still refuse.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -68,6 +69,12 @@
 	firstEventLatency time.Duration
 	// choice is the server of the current attempt.
 	choice *backends.Choice
+	// standby is the attempt that is made beside the current one; nil if there is
+	// none. None is started before standbyNotBefore.
+	standby          *standby
+	standbyNotBefore time.Time
+	// standbyMayHaveRun is set if the request may have run at a standby that failed.
+	standbyMayHaveRun bool
 	// failureCause is why the latest attempt failed, for the log.
 	failureCause string
 	// serverGivenUp is set if the latest attempt ended because the server was silent,
@@ -101,6 +108,7 @@
 // run sends the request to one server after another until an attempt is final or
 // no retry is allowed.
 func (x *exchange) run() {
+	defer x.endStandby()
 	for {
 		choice, err := x.selectServer()
 		if err != nil {
@@ -109,8 +117,8 @@
 		}
 		x.choice = choice
 		x.selectionCount++
-		result := x.sendTo(choice)
-		choice.Release()
+		result := x.continueWithStandby(x.sendTo(choice))
+		x.endStandby()
 		switch result {
 		case outcomeAnswered:
 			return
@@ -121,16 +129,24 @@
 			x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(x.g.staleDelay()))
 			return
 		}
-		x.triedServers = append(x.triedServers, choice.ID)
-		if choice.Group.Name != "" {
-			x.avoidGroups = append(x.avoidGroups, choice.Group.Name)
-		}
+		x.markTried(x.choice)
 		if denial := x.claimRetry(result); denial != "" {
-			x.g.logFailedAttempt(x, choice, "no_retry", denial)
+			x.g.logFailedAttempt(x, x.choice, "no_retry", denial)
 			x.refuseOrAbort(verdict.Refuse(verdict.Overloaded, x.verdict(), denial).WithRetryAfter(x.g.refusalDelay()))
 			return
 		}
-		x.g.logFailedAttempt(x, choice, "retry", x.failureCause)
+		x.g.logFailedAttempt(x, x.choice, "retry", x.failureCause)
+	}
+}
+
+// markTried excludes a server, and its group if possible, from further selections.
+func (x *exchange) markTried(choice *backends.Choice) {
+	if slices.Contains(x.triedServers, choice.ID) {
+		return
+	}
+	x.triedServers = append(x.triedServers, choice.ID)
+	if choice.Group.Name != "" {
+		x.avoidGroups = append(x.avoidGroups, choice.Group.Name)
 	}
 }
 
@@ -200,8 +216,10 @@
 	return ""
 }
 
-// sendTo sends the request to one server and relays its response.
+// sendTo sends the request to one server and relays its response. It releases the
+// choice.
 func (x *exchange) sendTo(choice *backends.Choice) attemptOutcome {
+	defer choice.Release()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	x.failureCause, x.serverGivenUp = "", false
@@ -211,15 +229,21 @@
 		return x.handleSendError(choice, err)
 	}
 	defer response.Close()
+	return x.relay(choice, response, mayHaveRunBefore)
+}
+
+// relay relays the response of a server. mayHaveRunBefore says whether the request may
+// have run at another server.
+func (x *exchange) relay(choice *backends.Choice, response *upstream.Response, mayHaveRunBefore bool) attemptOutcome {
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	x.g.recordWithdrawal(choice, metadata)
 	if metadata.NotRun {
-		x.mayHaveRun = mayHaveRunBefore
+		x.mayHaveRun = mayHaveRunBefore || x.standbyMayHaveRun
 		return x.handleServerRefusal(choice, response, metadata)
 	}
 	if response.Status >= http.StatusInternalServerError {
 		x.g.directory.RecordServerError(choice.ID, time.Now())
-		if !x.cannotRetry() {
+		if x.standby != nil || !x.cannotRetry() {
 			x.failureCause = "the server returned status " + strconv.Itoa(response.Status)
 			return outcomeFailed
 		}
@@ -279,11 +303,8 @@
 // beforeSend is called when the connection is open and no byte has been sent. If
 // it returns nil, the request may run from then on.
 func (x *exchange) beforeSend(choice *backends.Choice) error {
-	if x.authenticated && !x.g.configFresh() {
-		return errConfigStale
-	}
-	if x.g.directory.Withdrawn(&choice.Server, time.Now()) {
-		return errServerWithdrawn
+	if err := x.checkSend(choice); err != nil {
+		return err
 	}
 	x.sendCount++
 	x.mayHaveRun = true
@@ -293,6 +314,18 @@
 	return nil
 }
 
+// checkSend returns an error if the request must not be sent to the server any more.
+// It may be called by any goroutine.
+func (x *exchange) checkSend(choice *backends.Choice) error {
+	if x.authenticated && !x.g.configFresh() {
+		return errConfigStale
+	}
+	if x.g.directory.Withdrawn(&choice.Server, time.Now()) {
+		return errServerWithdrawn
+	}
+	return nil
+}
+
 // handleSendError records and classifies an attempt that received no response
 // header.
 func (x *exchange) handleSendError(choice *backends.Choice, err error) attemptOutcome {
@@ -303,8 +336,7 @@
 		x.failureCause = err.Error()
 		return outcomeNotRun
 	}
-	var sendErr *upstream.Error
-	sent := !errors.As(err, &sendErr) || sendErr.MaybeSent
+	sent := maybeSent(err)
 	if x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
@@ -318,24 +350,39 @@
 	return outcomeNotRun
 }
 
+// maybeSent reports whether bytes of a request whose sending failed with err may have
+// reached the server.
+func maybeSent(err error) bool {
+	if errors.Is(err, errConfigStale) || errors.Is(err, errServerWithdrawn) {
+		return false
+	}
+	var sendErr *upstream.Error
+	return !errors.As(err, &sendErr) || sendErr.MaybeSent
+}
+
 // handleServerRefusal records and classifies a response which states that the
 // server did not run the request.
 func (x *exchange) handleServerRefusal(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
-	now := time.Now()
-	x.failureCause = "the server refused with " + strconv.Itoa(response.Status)
 	if _, err := io.Copy(io.Discard, response); err != nil && x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
+	x.recordServerRefusal(choice, response.Status, metadata)
+	return outcomeNotRun
+}
+
+// recordServerRefusal records that a server states that it did not run the request.
+func (x *exchange) recordServerRefusal(choice *backends.Choice, status int, metadata ResponseMetadata) {
+	now := time.Now()
+	x.failureCause = "the server refused with " + strconv.Itoa(status)
 	switch {
 	case metadata.FaultyServer != "":
 		x.failureCause += ", its group is broken at " + metadata.FaultyServer
 		x.g.directory.MarkGroupBroken(choice.ID, now.Add(brokenGroupExclusion))
-	case response.Status == http.StatusMisdirectedRequest: // Another server has the address now.
+	case status == http.StatusMisdirectedRequest: // Another server has the address now.
 		x.g.directory.RecordFailure(choice.ID, true, now)
 	default:
 		x.g.directory.RecordSuccess(choice.ID, metadata.Load, now)
 	}
-	return outcomeNotRun
 }
 
 // refuseOrAbort sends a refusal. If the response header has already been sent, it
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -67,17 +67,24 @@
 }
 
 // waitPolicy returns the function that decides, while a server sends nothing,
-// whether to keep waiting. It ends the wait only if the request may be sent to
-// another server.
+// whether to keep waiting. It starts a standby once another server should be tried, and
+// ends the wait only when the standby has an answer. It must be called by the goroutine
+// of the exchange.
 func (x *exchange) waitPolicy(choice *backends.Choice) func(time.Duration) bool {
 	wait := waitObserver{directory: x.g.directory, server: choice.ID}
 	return func(silence time.Duration) bool {
+		if x.standby != nil {
+			return !x.standbyAnswered()
+		}
 		s := wait.observe(silence)
 		s.objective = x.route.Objective
 		s.stream = x.route.Repeat == ingress.Stream
 		s.eventsReceived = x.eventCount > 0
 		s.slowsGroup = x.route.Resumable && x.g.directory.SlowsGroup(&choice.Server, x.service, x.route.PauseObjective)
-		return !s.shouldFailOver() || x.cannotRetry()
+		if s.shouldFailOver() && !x.cannotRetry() && time.Now().After(x.standbyNotBefore) {
+			x.startStandby(choice)
+		}
+		return true
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -100,6 +100,7 @@
 		if err != nil {
 			return x.handleBodyError(choice, err)
 		}
+		x.endStandby()
 		choice.RecordProgress(time.Now())
 		if !x.forwardEvent(response, ev) {
 			return outcomeCanceled
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -76,7 +76,7 @@
 	h.addServer("b", writeEventsWithSilence)
 	h.start()
 	var callers sync.WaitGroup
-	for i := range 8 {
+	for i := range 48 {
 		callers.Go(func() {
 			got := h.send("/stream/x", "Id", fmt.Sprint(i))
 			assert.Check(t, got.err)
@@ -86,6 +86,32 @@
 	callers.Wait()
 }
 
+// A server that refuses at last promises nothing for the standby, which may have run.
+func TestRefusalAfterAStandbyPromisesOnlyWhatIsTrue(t *testing.T) {
+	standbys := map[string]struct {
+		handle func(net.Conn, *http.Request)
+		want   int
+	}{
+		"may have run": {func(c net.Conn, _ *http.Request) { c.Close() }, http.StatusBadGateway},
+		"refused too":  {func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "", "Not-Run: 1") }, http.StatusServiceUnavailable},
+	}
+	for name, test := range standbys {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.timeout = silenceTimeout
+			addFailoverServers(h,
+				func(c net.Conn, r *http.Request) {
+					time.Sleep(time.Second)
+					writeResponse(c, r, 503, "", "Not-Run: 1")
+				}, test.handle)
+			h.start()
+			got := h.send("/again/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, test.want)
+		})
+	}
+}
+
 // A caller got a failure because its slow server was given up for one that refused.
 func TestSlowServerIsKeptWhenTheOtherRefuses(t *testing.T) {
 	h := newHarness(t)
--- /dev/null
+++ b/gateway/standby.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bluebellwind.example/backends"
+	"bluebellwind.example/ingress"
+	"bluebellwind.example/upstream"
+)
+
+// standbyRetryInterval is the time after a standby could not be started until the next
+// attempt to start one.
+const standbyRetryInterval = 300 * time.Millisecond
+
+// standby is a second attempt that is made while the server of the current one is
+// silent. The current attempt goes on until the standby has an answer, because another
+// server may refuse the request or be silent too.
+type standby struct {
+	choice *backends.Choice
+	cancel context.CancelFunc
+	// done is closed when the fields below have been set.
+	done chan struct{}
+	// response has its first data, or its end, if err is nil.
+	response *upstream.Response
+	err      error
+	// unsent is set if err says that nothing was sent.
+	unsent bool
+}
+
+// startStandby starts a standby if a server can be chosen for it and the retry budget
+// allows it. silent is the server of the current attempt.
+func (x *exchange) startStandby(silent *backends.Choice) {
+	x.markTried(silent)
+	choice, err := x.selectServer()
+	if err != nil {
+		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
+		return
+	}
+	if !x.g.retryBudget.AllowRetry(x.serviceName, x.g.gatewayCount(), time.Now()) {
+		choice.Release()
+		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
+		return
+	}
+	x.selectionCount++
+	x.sendCount++
+	ctx, cancel := context.WithCancel(x.ctx)
+	s := &standby{choice: choice, cancel: cancel, done: make(chan struct{})}
+	request := x.newUpstreamRequest(choice)
+	request.BeforeSend = func() error { return x.checkSend(choice) }
+	request.KeepWaiting = nil
+	x.standby = s
+	go s.run(ctx, x.g.pool, request, x.route.Repeat == ingress.Stream)
+}
+
+// run sends the request. For a stream it waits until data of the body, or its end, has
+// arrived.
+func (s *standby) run(ctx context.Context, pool *upstream.Pool, request *upstream.Request, stream bool) {
+	defer close(s.done)
+	s.response, s.err = pool.Send(ctx, request)
+	if s.err != nil {
+		s.unsent = !maybeSent(s.err)
+		return
+	}
+	if !stream || s.response.Status != http.StatusOK {
+		return
+	}
+	if s.err = s.response.AwaitBody(); s.err != nil {
+		s.response.Close()
+	}
+}
+
+// standbyAnswered reports whether the standby has an answer that the caller should get in
+// place of that of the silent server. A standby that has ended without one is dropped.
+func (x *exchange) standbyAnswered() bool {
+	s := x.standby
+	select {
+	case <-s.done:
+	default:
+		return false
+	}
+	if s.err == nil && x.wantsAnswer(s.response) {
+		return true
+	}
+	x.dropStandby()
+	return false
+}
+
+// wantsAnswer reports whether the response is better than to wait for a silent server.
+func (x *exchange) wantsAnswer(response *upstream.Response) bool {
+	if x.route.Repeat == ingress.Stream {
+		return response.Status == http.StatusOK
+	}
+	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
+	return !metadata.NotRun && response.Status < http.StatusInternalServerError
+}
+
+// dropStandby records the end of a standby that has no answer for the caller.
+func (x *exchange) dropStandby() {
+	s := x.standby
+	x.standby = nil
+	defer s.choice.Release()
+	defer s.cancel()
+	cause, givenUp := x.failureCause, x.serverGivenUp
+	x.standbyMayHaveRun = x.standbyMayHaveRun || x.recordStandbyFailure(s)
+	x.g.logFailedAttempt(x, s.choice, "standby_failed", x.failureCause)
+	x.failureCause, x.serverGivenUp = cause, givenUp
+	x.markTried(s.choice)
+}
+
+// recordStandbyFailure records the failure of a standby and reports whether the request
+// may have run there.
+func (x *exchange) recordStandbyFailure(s *standby) (mayHaveRun bool) {
+	if s.err != nil {
+		x.recordStandbyError(s)
+		return !s.unsent
+	}
+	defer s.response.Close()
+	metadata := x.g.headerCodec.ParseResponse(s.response.Status, s.response.Header)
+	x.g.recordWithdrawal(s.choice, metadata)
+	if metadata.NotRun {
+		x.recordServerRefusal(s.choice, s.response.Status, metadata)
+		return false
+	}
+	x.failureCause = "the server returned status " + strconv.Itoa(s.response.Status)
+	if s.response.Status >= http.StatusInternalServerError {
+		x.g.directory.RecordServerError(s.choice.ID, time.Now())
+	}
+	return true
+}
+
+// recordStandbyError records a standby that received no response.
+func (x *exchange) recordStandbyError(s *standby) attemptOutcome {
+	if s.unsent {
+		x.sendCount--
+	}
+	return x.handleSendError(s.choice, s.err)
+}
+
+// continueWithStandby goes on with the standby, if there is one, after the current
+// attempt has ended without an answer. It waits for the standby.
+func (x *exchange) continueWithStandby(result attemptOutcome) attemptOutcome {
+	for x.standby != nil && (result == outcomeFailed || result == outcomeNotRun) {
+		s := x.standby
+		x.standby = nil
+		x.g.logFailedAttempt(x, x.choice, "retry", x.failureCause)
+		x.markTried(x.choice)
+		<-s.done
+		x.choice = s.choice
+		mayHaveRunBefore := x.mayHaveRun
+		x.mayHaveRun = mayHaveRunBefore || !s.unsent
+		result = x.adopt(s, mayHaveRunBefore)
+	}
+	return result
+}
+
+// adopt makes the standby the current attempt and relays its response.
+// mayHaveRunBefore says whether the request may have run at another server.
+func (x *exchange) adopt(s *standby, mayHaveRunBefore bool) attemptOutcome {
+	defer s.choice.Release()
+	defer s.cancel()
+	if s.err != nil {
+		return x.recordStandbyError(s)
+	}
+	defer s.response.Close()
+	s.response.SetKeepWaiting(x.waitPolicy(s.choice))
+	return x.relay(s.choice, s.response, mayHaveRunBefore)
+}
+
+// endStandby ends a standby that is not needed, without waiting for its end.
+func (x *exchange) endStandby() {
+	s := x.standby
+	if s == nil {
+		return
+	}
+	x.standby = nil
+	s.cancel()
+	go func() {
+		<-s.done
+		if s.err == nil {
+			s.response.Close()
+		}
+		s.choice.Release()
+	}()
+}
