Add a failing test: a silent server is given up before another takes over

Callers saw a stream end in the middle although its server was at work. The gateway closes the connection to a server that sends nothing for 1.3 s (or, with a status, for 0.5 s and four passes) and only then looks for another one. If there is none, or if it refuses or closes, max_attempts is used up and the answer is broken off.

go test ./gateway -run TestSilentServerIsNotGivenUp -count=1: --- FAIL: TestSilentServerIsNotGivenUpBeforeAnotherTakesOver (0.00s) --- FAIL: .../there_is_no_other_server (1.51s): unexpected EOF: ... event=broken_off detail="no backend server can take this request" --- FAIL: .../the_other_server_refuses (1.51s): unexpected EOF: ... event=broken_off detail="the route allows no further server" sends=2 --- FAIL: .../the_other_server_closes (1.51s): unexpected EOF: ... event=broken_off detail="the route allows no further server" sends=2

--- /dev/null
+++ b/gateway/ends_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// longSilence is longer than the gateway waits for a server that it may replace.
+const longSilence = maxStall + 200*time.Millisecond
+
+// writeEventsSlowly writes the events 1..4 and is silent after the second one.
+func writeEventsSlowly(c net.Conn, r *http.Request) {
+	writeEvents(c, r, 1, 2, false)
+	time.Sleep(longSilence)
+	rest := eventText(3, 4)
+	_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+}
+
+// A stream of a sound server was broken off because no other server took it over.
+func TestSilentServerIsNotGivenUpBeforeAnotherTakesOver(t *testing.T) {
+	others := map[string]func(h *harness) func(net.Conn, *http.Request){
+		"there is no other server": func(*harness) func(net.Conn, *http.Request) { return nil },
+		"the other server refuses": func(*harness) func(net.Conn, *http.Request) {
+			return func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "", "Not-Run: 1") }
+		},
+		"the other server closes": func(*harness) func(net.Conn, *http.Request) {
+			return func(c net.Conn, _ *http.Request) { c.Close() }
+		},
+	}
+	for name, other := range others {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			if rest := other(h); rest == nil {
+				h.addServer("a", writeEventsSlowly)
+			} else {
+				addFailoverServers(h, writeEventsSlowly, rest)
+			}
+			h.start()
+			got := h.send("/stream/x")
+			assert.NilError(t, got.err, h.logLines("1"))
+			assert.Equal(t, got.body, eventText(1, 4))
+		})
+	}
+}
