Add a failing test: a request on a just accepted connection is dropped at the stop

Callers saw their connection close without an answer to a whole request that they sent while the gateway stopped. http.Server drops every request that it has read once Shutdown was called (server.go: 'if c.server.shuttingDown() { return }' right after readRequest), also on connections that were accepted before and have sent nothing yet. On a busy gateway that is more than 200 ms after the last byte.

go test ./gateway -run TestRequestOnAConnectionAccepted -count=1: --- FAIL: TestRequestOnAConnectionAcceptedBeforeTheStopIsAnswered (0.20s) drain_test.go:114: assertion failed: error is not nil: unexpected EOF: the connection was closed without an answer

--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lag is how long a busy gateway may take to handle what it has read. It is longer
+// than the time in which a connection may be closed without an answer.
+const lag = 300 * time.Millisecond
+
+// laggingListener hands over what its connections have read after lag, while enabled.
+type laggingListener struct {
+	net.Listener
+	enabled atomic.Bool
+	// received gets a value for each read that lags.
+	received chan struct{}
+}
+
+func (l *laggingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &laggingConn{Conn: c, listener: l}, err
+}
+
+type laggingConn struct {
+	net.Conn
+	listener *laggingListener
+}
+
+func (c *laggingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.listener.enabled.Load() {
+		c.listener.received <- struct{}{}
+		time.Sleep(lag)
+	}
+	return n, err
+}
+
+// listen serves callers with a server of the gateway, through a laggingListener.
+func listen(h *harness) (*http.Server, *laggingListener) {
+	h.t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(h.t, err)
+	l := &laggingListener{Listener: raw, received: make(chan struct{}, 16)}
+	server := h.gateway.newCallerServer()
+	go func() { _ = server.Serve(l) }()
+	h.t.Cleanup(func() { _ = server.Close() })
+	return server, l
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialCaller(t *testing.T, l net.Listener) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	return &caller{t: t, Conn: c, reader: bufio.NewReader(c)}
+}
+
+// send sends a whole request in one piece.
+func (c *caller) send(path string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody")
+	assert.NilError(c.t, err)
+}
+
+// status reads a whole response and returns its status.
+func (c *caller) status() (int, error) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// startDrain drains the gateway in the background with the given timeout.
+func startDrain(h *harness, server *http.Server, timeout time.Duration) {
+	h.gateway.limits.Store(&Limits{MaxProofAge: longProofAge, DrainTimeout: timeout})
+	go h.gateway.drain(server)
+}
+
+// answering is a server that answers at once.
+func answering(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") }
+
+// A request on a connection that was accepted shortly before the gateway stopped got
+// nothing.
+func TestRequestOnAConnectionAcceptedBeforeTheStopIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", answering)
+	h.start()
+	server, l := listen(h)
+	c := dialCaller(t, l)
+	time.Sleep(50 * time.Millisecond) // It is accepted.
+	startDrain(h, server, 2*time.Second)
+	time.Sleep(50 * time.Millisecond) // The listener is closed.
+	c.send("/once/x")
+	status, err := c.status()
+	assert.NilError(t, err, "the connection was closed without an answer")
+	assert.Assert(t, status == 200 || status == 503, "%d", status)
+}
