Add a failing test: a request read from an idle connection is dropped at the stop

Callers saw their connection close without an answer to a whole request on a kept connection. http.Server reads the request (Peek) while the connection still counts as idle, and Shutdown closes idle connections.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -114,3 +114,22 @@
 	assert.NilError(t, err, "the connection was closed without an answer")
 	assert.Assert(t, status == 200 || status == 503, "%d", status)
 }
+
+// A busy gateway had read a request from an idle connection and then closed it.
+func TestRequestReadFromAnIdleConnectionSurvivesTheStop(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", answering)
+	h.start()
+	server, l := listen(h)
+	c := dialCaller(t, l)
+	c.send("/once/x")
+	_, err := c.status()
+	assert.NilError(t, err)
+	l.enabled.Store(true)
+	c.send("/once/x")
+	<-l.received
+	startDrain(h, server, 2*time.Second)
+	status, err := c.status()
+	assert.NilError(t, err, "the connection was closed without an answer")
+	assert.Assert(t, status == 200 || status == 503, "%d", status)
+}
