Add a failing test: a request that waits at the end of the drain gets no answer

Callers saw their connection close without an answer. At DrainTimeout the gateway closes all connections, also of requests of which nothing has been answered yet. A request that only waits in the queue of its server is not at work there, so the last sixth of grace_s does not excuse the close. The log says drain_cut once and caller_left for each request (the close ends the request's context), so that it looks as if the caller had left.

go test ./gateway -run TestRequestThatWaits -count=1: --- FAIL: TestRequestThatWaitsAtTheEndOfTheDrainIsAnswered (0.00s) --- FAIL: .../stream (0.30s) unexpected EOF: the connection was closed without an answer --- FAIL: .../again (0.30s) unexpected EOF: the connection was closed without an answer --- FAIL: .../once (0.30s) unexpected EOF: the connection was closed without an answer

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -133,3 +133,23 @@
 	assert.NilError(t, err, "the connection was closed without an answer")
 	assert.Assert(t, status == 200 || status == 503, "%d", status)
 }
+
+// A request that still waited for its server when the drain ended got nothing.
+func TestRequestThatWaitsAtTheEndOfTheDrainIsAnswered(t *testing.T) {
+	for _, path := range []string{"once", "again", "stream"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.addServer("a", func(net.Conn, *http.Request) { time.Sleep(time.Second) })
+			h.start()
+			server, l := listen(h)
+			c := dialCaller(t, l)
+			c.send("/" + path + "/x")
+			time.Sleep(50 * time.Millisecond)
+			startDrain(h, server, 150*time.Millisecond)
+			status, err := c.status()
+			assert.NilError(t, err, "the connection was closed without an answer")
+			assert.Assert(t, status == http.StatusBadGateway || status == http.StatusGatewayTimeout, "%d", status)
+		})
+	}
+}
