Add a failing test: the idle limit closes a connection whose request was read

Callers saw their connection close without an answer to a whole request. The idle timer closes the connection while a request that was read counts as not begun. From the code also: trackState ignores that timer.Stop returns false, so a timer that has fired may close a connection whose request is already being served.

go test ./gateway -run TestRequestReadAsTheIdle -count=2, each of 2 runs: --- FAIL: TestRequestReadAsTheIdleTimeEndsIsAnswered (1.20s) drain_test.go: assertion failed: error is not nil: unexpected EOF: the connection was closed without an answer

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -153,3 +153,22 @@
 		})
 	}
 }
+
+// A busy gateway had read a request from an idle connection whose time then ended.
+func TestRequestReadAsTheIdleTimeEndsIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", answering)
+	h.idleTimeout = 100 * time.Millisecond
+	h.start()
+	_, l := listen(h)
+	c := dialCaller(t, l)
+	c.send("/once/x")
+	_, err := c.status()
+	assert.NilError(t, err)
+	l.enabled.Store(true)
+	time.Sleep(h.idleTimeout + idleGrace - lag/2)
+	c.send("/once/x")
+	status, err := c.status()
+	assert.NilError(t, err, "the connection was closed without an answer")
+	assert.Equal(t, status, 200)
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -111,6 +111,8 @@
 	freeRetries float64
 	// timeout is the timeout of all routes.
 	timeout time.Duration
+	// idleTimeout is how long callers' connections may be idle; zero means no limit.
+	idleTimeout time.Duration
 }
 
 const (
@@ -211,6 +213,7 @@
 			Routes:        []ingress.Route{route("once", ingress.AtMostOnce, 1), route("again", ingress.Idempotent, 2), route("stream", ingress.Stream, 2), public},
 			Services:      []ingress.Service{{Name: "svc", Engine: h.engine}},
 			Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"key"}}},
+			Limits:        ingress.Limits{IdleTimeout: h.idleTimeout},
 		},
 	}
 	logger := logging.NewBounded(&h.logOutput, "info").Logger
