Add a failing test: a stream is cut when its server pauses within an event

Callers saw a stream end in the middle though its server was sound. While a part of an event is buffered, WaitForData is not called, so the read deadline of 1.5 s from the last wait ends the stream; no other server is there or it refuses.

go test ./gateway -run TestServerThatPausesWithinAnEvent -count=1: --- FAIL: TestServerThatPausesWithinAnEventIsNotCut (1.70s) event=retry cause="the answer broke off: read tcp ...: i/o timeout" event=broken_off detail="no backend server can take this request"

--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// A stream of a sound server was broken off because the server paused within an event.
+func TestServerThatPausesWithinAnEventIsNotCut(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", func(c net.Conn, r *http.Request) {
+		writeEvents(c, r, 1, 1, false)
+		second := eventText(2, 2)
+		writePaused(c, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(second), second), 12)
+	})
+	h.start()
+	got := h.send("/stream/x")
+	assert.NilError(t, got.err, h.logLines("1"))
+	assert.Equal(t, got.body, eventText(1, 2))
+}
+
 // writePaused writes text with a pause before the last bytes.
 func writePaused(c net.Conn, text string, last int) {
 	_, _ = io.WriteString(c, text[:len(text)-last])
