Add a failing test: an answer is cut when its caller reads slowly

Callers that read slowly saw a cut answer though the server sent on. The read deadline is set once data has arrived; while the gateway is held up by its caller (or by its processor) for 1.5 s, the deadline passes, and Go's next read fails even though data is there. Streams are hit too, while a part of an event is buffered.

--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -324,3 +324,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "early")
 }
+
+// The gateway is held up by a slow caller while the server sends on. The answer was cut
+// as if the server had stopped.
+func TestAnswerThatIsReadSlowlyIsNotCut(t *testing.T) {
+	const size = 64 << 10 // It does not fit into the read buffer.
+	address, _ := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 65536\r\n\r\n"+strings.Repeat("x", size))
+		_, _ = io.Copy(io.Discard, r)
+	})
+	r := newRequest(address, "1")
+	r.KeepWaiting = func(time.Duration) bool { return true }
+	response, err := upstream.NewPool().Send(context.Background(), r)
+	assert.NilError(t, err)
+	defer response.Close()
+	time.Sleep(1600 * time.Millisecond)
+	body, err := io.ReadAll(response)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), size)
+}
