Add a failing test: a silent server is given up while the proof is stale

Callers saw a stream end in the middle although its server was at work. The gateway gives the silent server up without regard to the age of the proof of the configuration, and then may not send the key to the next server.

go test ./gateway -run TestSilentServerIsNotGivenUpWhile -count=2, each of 2 runs: --- FAIL: TestSilentServerIsNotGivenUpWhileTheProofIsStale (1.43s) unexpected EOF: event=broken_off detail="the configuration is not proved fresh"

--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -48,3 +48,16 @@
 		})
 	}
 }
+
+// A stream of a sound server was broken off because nothing might be sent to the server
+// that was to take it over.
+func TestSilentServerIsNotGivenUpWhileTheProofIsStale(t *testing.T) {
+	h := newHarness(t)
+	h.maxProofAge = shortProofAge
+	addFailoverServers(h, writeEventsSlowly, func(c net.Conn, r *http.Request) { writeEvents(c, r, 3, 4, true) })
+	h.start()
+	time.AfterFunc(300*time.Millisecond, h.stopSource)
+	got := h.send("/stream/x")
+	assert.NilError(t, got.err, h.logLines("1"))
+	assert.Equal(t, got.body, eventText(1, 4))
+}
