Add a failing test: servers are given up for a retry that is then denied

Callers saw streams end in the middle although their servers were at work. The wait policy looks at the remaining retries, but takes none; when several streams are silent at once, the first takes what all have counted on.

--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/backends"
+	"bluebellwind.example/ingress"
+	"bluebellwind.example/routing/retry"
 )
 
 // longSilence is longer than the gateway waits for a server that it may replace.
@@ -61,3 +66,26 @@
 	assert.NilError(t, got.err, h.logLines("1"))
 	assert.Equal(t, got.body, eventText(1, 4))
 }
+
+// Streams of sound servers were broken off because several gave up at once and the
+// retry budget was enough for one.
+func TestServerIsGivenUpOnlyWithARetry(t *testing.T) {
+	h := newHarness(t)
+	a := h.addServer("a", answering)
+	h.start()
+	h.gateway.Reload(Limits{MaxProofAge: longProofAge, RetryWindow: retry.WindowConfig{Span: 10 * time.Second, FreeRetries: 1}})
+	choice := &backends.Choice{Server: a.Server}
+	var givenUp []*exchange
+	for range 2 {
+		x := &exchange{
+			g: h.gateway, ctx: context.Background(), serviceName: "svc", sendCount: 1, mayHaveRun: true, headerSent: true, hasLastEventID: true,
+			route: &ingress.Route{Repeat: ingress.Stream, Resumable: true, MaxAttempts: 2},
+		}
+		if !x.waitPolicy(choice)(maxStall) {
+			givenUp = append(givenUp, x)
+		}
+	}
+	for _, x := range givenUp {
+		assert.Equal(t, x.claimRetry(outcomeFailed), "")
+	}
+}
