Never close a caller's connection whose request has been read

A caller whose request the gateway had read got nothing, neither an answer nor a refusal, and no line was logged, if the gateway stopped at that moment: http.Server.Shutdown closes idle connections while the request on them is just being read (its state changes only after the whole header), and from then on http.Server drops each request that it has read on a connection accepted before. The idle timer closed connections in the same way.

Cause: connections were closed by a state that lags behind what has been read. Now nobody closes a connection that waits for a request.

Ruled out: Shutdown after a wait; the window stays.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -90,9 +90,9 @@
 }
 
 // startDrain drains the gateway in the background with the given timeout.
-func startDrain(h *harness, server *http.Server, timeout time.Duration) {
+func startDrain(h *harness, server *http.Server, l net.Listener, timeout time.Duration) {
 	h.gateway.limits.Store(&Limits{MaxProofAge: longProofAge, DrainTimeout: timeout})
-	go h.gateway.drain(server)
+	go h.gateway.drain(server, func() { _ = l.Close() })
 }
 
 // answering is a server that answers at once.
@@ -107,7 +107,7 @@
 	server, l := listen(h)
 	c := dialCaller(t, l)
 	time.Sleep(50 * time.Millisecond) // It is accepted.
-	startDrain(h, server, 2*time.Second)
+	startDrain(h, server, l, 2*time.Second)
 	time.Sleep(50 * time.Millisecond) // The listener is closed.
 	c.send("/once/x")
 	status, err := c.status()
@@ -128,7 +128,7 @@
 	l.enabled.Store(true)
 	c.send("/once/x")
 	<-l.received
-	startDrain(h, server, 2*time.Second)
+	startDrain(h, server, l, 2*time.Second)
 	status, err := c.status()
 	assert.NilError(t, err, "the connection was closed without an answer")
 	assert.Assert(t, status == 200 || status == 503, "%d", status)
@@ -146,7 +146,7 @@
 			c := dialCaller(t, l)
 			c.send("/" + path + "/x")
 			time.Sleep(50 * time.Millisecond)
-			startDrain(h, server, 150*time.Millisecond)
+			startDrain(h, server, l, 150*time.Millisecond)
 			status, err := c.status()
 			assert.NilError(t, err, "the connection was closed without an answer")
 			assert.Assert(t, status == http.StatusBadGateway || status == http.StatusGatewayTimeout, "%d", status)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -94,6 +93,7 @@
 	metrics     *gatewayMetrics
 	malformed   malformedLog
 	limits      atomic.Pointer[Limits]
+	callerConns *callerConns
 	draining    atomic.Bool
 	// peakGatewayCount is the highest number of live gateways seen. Limits
 	// shared by all gateways are divided by it, because gateways that are cut
@@ -112,6 +112,12 @@
 		pool:        upstream.NewPool(),
 		log:         o.Log,
 	}
+	g.callerConns = newCallerConns(func() time.Duration {
+		if t := g.follower.Table(); t != nil {
+			return t.Limits().IdleTimeout
+		}
+		return 0
+	})
 	g.metrics = newGatewayMetrics(g)
 	g.limits.Store(&o.Limits)
 	return g
@@ -137,17 +143,22 @@
 	}
 	callerServer := g.newCallerServer()
 	probeServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
-	serveErr := make(chan error, 2)
-	go func() { serveErr <- callerServer.Serve(callerListener) }()
-	go func() { serveErr <- probeServer.Serve(probeListener) }()
+	callersErr, probesErr := make(chan error, 1), make(chan error, 1)
+	go func() { callersErr <- callerServer.Serve(callerListener) }()
+	go func() { probesErr <- probeServer.Serve(probeListener) }()
 	go g.closeIdleServerConnections(ctx)
 	g.log.Info().Str("event", "started").Str("callers", g.options.CallerAddress).Msg("")
 	select {
-	case err := <-serveErr:
-		return fmt.Errorf("gateway: serve: %w", err)
+	case err := <-callersErr:
+		return fmt.Errorf("gateway: serve callers: %w", err)
+	case err := <-probesErr:
+		return fmt.Errorf("gateway: serve readiness probes: %w", err)
 	case <-ctx.Done():
 	}
-	g.drain(callerServer)
+	g.drain(callerServer, func() {
+		_ = callerListener.Close() // Serve reports the end of the listener.
+		<-callersErr
+	})
 	return probeServer.Close()
 }
 
@@ -162,17 +173,11 @@
 			return nil
 		}
 	})
-	idle := newIdleCloser(func() time.Duration {
-		if t := g.follower.Table(); t != nil {
-			return t.Limits().IdleTimeout
-		}
-		return 0
-	})
 	return &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         idle.trackState,
+		ConnState:         g.callerConns.trackState,
 		ErrorLog:          nil,
 	}
 }
@@ -215,21 +220,20 @@
 }
 
 // drain reports not ready, stops accepting connections after DrainDelay, and
-// lets pending responses finish until DrainTimeout.
-func (g *Gateway) drain(server *http.Server) {
+// lets pending responses finish until DrainTimeout. stopAccepting closes the listener and
+// returns once each accepted connection is known to callerConns.
+func (g *Gateway) drain(server *http.Server, stopAccepting func()) {
 	limits := g.limits.Load()
 	started := time.Now()
 	g.draining.Store(true)
 	g.log.Info().Str("event", "drain_started").Msg("")
 	time.Sleep(limits.DrainDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limits.DrainTimeout))
-	defer cancel()
-	err := server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	stopAccepting()
+	g.callerConns.stop()
+	if !g.callerConns.awaitEmpty(time.Until(started.Add(limits.DrainTimeout))) {
 		g.log.Warn().Str("event", "drain_cut").Int64("requests", g.metrics.activeRequests.Load()).Msg("")
-		err = server.Close()
 	}
-	if err != nil {
+	if err := server.Close(); err != nil {
 		g.log.Warn().Str("event", "drain_failed").Str("cause", err.Error()).Msg("")
 	}
 	g.log.Info().Str("event", "stopped").Dur("after", time.Since(started)).Msg("")
