Answer the requests that are still open when a drain ends

A caller whose request still waited for its server when the time of a gateway's drain was over got nothing: all connections were closed, and the log said caller_left, since closing the connection ended the request's context as a caller does.

Now these requests end first, with a cause of their own: what no server got is refused with 503 and a time to come back, the rest with 502 (may have run); begun streams are broken off as before. Connections are closed 0.1 s later. drain_cut says how many there were.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -399,12 +399,16 @@
 	x.g.refuse(x, e)
 }
 
-// finishCanceled ends a request whose deadline has passed or whose caller has
-// disconnected.
+// finishCanceled ends a request whose deadline has passed, whose caller has
+// disconnected or that is still open when the gateway stops.
 func (x *exchange) finishCanceled() {
 	if x.r.Context().Err() != nil {
 		x.g.logResponseEnd(x, "caller_left", "")
 		panic(http.ErrAbortHandler)
 	}
+	if errors.Is(context.Cause(x.ctx), errStopping) {
+		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, x.verdict(), "the gateway stops").WithRetryAfter(x.g.staleDelay()))
+		return
+	}
 	x.refuseOrAbort(verdict.Refuse(verdict.DeadlineExceeded, x.verdict(), "the time of the request is over"))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,9 @@
 	// defaultMaxBodyBytes is the maximum size of a request's body, in bytes,
 	// while the configuration states none.
 	defaultMaxBodyBytes = 4 << 20
+	// lastAnswersTime is the time for sending the refusals of requests that are still
+	// open at the end of a drain.
+	lastAnswersTime = 100 * time.Millisecond
 	// idleCheckInterval is the time between two checks for idle connections to
 	// servers.
 	idleCheckInterval = time.Second
@@ -57,7 +60,8 @@
 	// the platform has noticed that it is not ready.
 	DrainDelay time.Duration
 	// DrainTimeout is the maximum time from the stop signal to the end of the last
-	// response; connections still open then are closed.
+	// response; requests still open then are refused, and all connections are closed
+	// lastAnswersTime later.
 	DrainTimeout time.Duration
 }
 
@@ -95,6 +99,10 @@
 	limits      atomic.Pointer[Limits]
 	callerConns *callerConns
 	draining    atomic.Bool
+	// ending is canceled when the requests that are still open must be answered at
+	// once, by endRequests.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// peakGatewayCount is the highest number of live gateways seen. Limits
 	// shared by all gateways are divided by it, because gateways that are cut
 	// off from this one still use their share.
@@ -112,6 +120,7 @@
 		pool:        upstream.NewPool(),
 		log:         o.Log,
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.callerConns = newCallerConns(func() time.Duration {
 		if t := g.follower.Table(); t != nil {
 			return t.Limits().IdleTimeout
@@ -220,7 +229,8 @@
 }
 
 // drain reports not ready, stops accepting connections after DrainDelay, and
-// lets pending responses finish until DrainTimeout. stopAccepting closes the listener and
+// lets pending responses finish until DrainTimeout. Requests that have no response by
+// then are refused. stopAccepting closes the listener and
 // returns once each accepted connection is known to callerConns.
 func (g *Gateway) drain(server *http.Server, stopAccepting func()) {
 	limits := g.limits.Load()
@@ -232,6 +242,8 @@
 	g.callerConns.stop()
 	if !g.callerConns.awaitEmpty(time.Until(started.Add(limits.DrainTimeout))) {
 		g.log.Warn().Str("event", "drain_cut").Int64("requests", g.metrics.activeRequests.Load()).Msg("")
+		g.endRequests()
+		g.callerConns.awaitEmpty(lastAnswersTime)
 	}
 	if err := server.Close(); err != nil {
 		g.log.Warn().Str("event", "drain_failed").Str("cause", err.Error()).Msg("")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,13 +37,9 @@
 		g.refuse(x, refusal)
 		return
 	}
-	if !x.deadline.IsZero() {
-		var cancel context.CancelFunc
-		x.ctx, cancel = context.WithDeadline(r.Context(), x.deadline)
-		defer cancel()
-	} else {
-		x.ctx = r.Context()
-	}
+	ctx, cancel := g.requestContext(r.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
 	body, refusal := g.readBody(r)
 	if refusal != nil {
 		g.refuse(x, refusal)
@@ -55,6 +51,26 @@
 	x.run()
 }
 
+// errStopping is the cause of the end of requests that are still open at the end of a
+// drain.
+var errStopping = errors.New("gateway: the gateway stops")
+
+// requestContext returns a context that ends with parent, at the deadline unless that is
+// zero, and with errStopping as its cause when the requests have to end.
+func (g *Gateway) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	stoppable, stop := context.WithCancelCause(parent)
+	detach := context.AfterFunc(g.ending, func() { stop(errStopping) })
+	ctx, cancel := stoppable, context.CancelFunc(func() {})
+	if !deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(stoppable, deadline)
+	}
+	return ctx, func() {
+		detach()
+		cancel()
+		stop(nil)
+	}
+}
+
 // admit sets the route, organisation, service and deadline of a request. It
 // returns a refusal if the request is not admitted.
 func (g *Gateway) admit(x *exchange) *verdict.Error {
