Drain into the last sixth of a short grace period

Answers were cut 0.7 s before the end of the grace period whatever its length: 2.3 s into one of 3 s. Callers are promised their answers until its last sixth. The reserve for ending the process is now an eighth of a short period, 0.7 s at most; at 8 s nothing changes.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -43,10 +43,12 @@
 	// gateway is not ready: two probes one second apart, and a probe that is in
 	// flight.
 	unreadyDetectionTime = 2500 * time.Millisecond
-	// shutdownReserve is the part of the grace period, which the settings allow
+	// maxShutdownReserve is the part of the grace period, which the settings allow
 	// between the stop signal and the end of the process, that is reserved for
-	// ending the process after the drain.
-	shutdownReserve = 700 * time.Millisecond
+	// ending the process after the drain. Of a short grace period it is
+	// shutdownReserveShare.
+	maxShutdownReserve   = 700 * time.Millisecond
+	shutdownReserveShare = 0.125
 	// dropReportInterval is the time between two checks for dropped log lines.
 	dropReportInterval = 5 * time.Second
 )
@@ -157,10 +159,16 @@
 			Reserve:     retryBudgetReserve,
 		},
 		DrainDelay:   min(unreadyDetectionTime, settings.Bounds.Grace()/2),
-		DrainTimeout: max(0, settings.Bounds.Grace()-shutdownReserve),
+		DrainTimeout: settings.Bounds.Grace() - shutdownReserve(settings.Bounds.Grace()),
 	}
 }
 
+// shutdownReserve returns the part of a grace period that is reserved for ending the
+// process.
+func shutdownReserve(grace time.Duration) time.Duration {
+	return min(maxShutdownReserve, time.Duration(shutdownReserveShare*float64(grace)))
+}
+
 // tellGateways returns a function that tells the other gateways that a server leaves. A
 // gateway that has been told sends the server nothing more, so it hears nothing itself
 // and does not tell the others again.
