Do not cut a begun stream before its time is over

A stream was broken off 10 ms before the time that its caller and its route gave it: the margin that lets a refusal arrive in time also ended what had begun. Streams have no margin now; their refusal at the end of the time arrives as late as the way to the caller takes. TestBegunStreamIsNotCutBeforeItsTimeout failed three times of three (491 ms of 500) and passes.

--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,33 @@
 		assert.Equal(t, x.claimRetry(outcomeFailed), "")
 	}
 }
+
+// A stream that had begun was cut shortly before the time that its caller gave it.
+func TestBegunStreamIsNotCutBeforeItsTimeout(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = 500 * time.Millisecond
+	h.addServer("a", func(c net.Conn, r *http.Request) {
+		for i := 1; i < 100; i++ {
+			writeEvents(&bodyConn{Conn: c, skipHead: i > 1}, r, i, i, false)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	h.start()
+	began := time.Now()
+	got := h.send("/stream/x")
+	assert.Assert(t, got.err != nil)
+	assert.Assert(t, time.Since(began) >= h.timeout, "%v", time.Since(began))
+}
+
+// bodyConn leaves out the head of a response that is written to it.
+type bodyConn struct {
+	net.Conn
+	skipHead bool
+}
+
+func (c *bodyConn) Write(p []byte) (int, error) {
+	if c.skipHead && strings.HasPrefix(string(p), "HTTP/1.1 ") {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,7 +16,8 @@
 
 const (
 	// deadlineMargin is subtracted from the time that a request may take, so that
-	// the response reaches the caller in time.
+	// the response reaches the caller in time. Streams have none: a stream that has
+	// begun must not be cut sooner.
 	deadlineMargin = 10 * time.Millisecond
 	// lowestServerPriority is the priority that servers serve last.
 	lowestServerPriority = 9
@@ -131,6 +132,9 @@
 	if timeout == 0 {
 		return time.Time{}
 	}
+	if route.Repeat == ingress.Stream {
+		return arrived.Add(timeout)
+	}
 	return arrived.Add(max(timeout-deadlineMargin, deadlineMargin))
 }
 
