Tell the crash of a server from a broken connection, with what its requests share

When a server crashed, each gateway logged its own broken attempts, but not that the server had crashed, which of them had begun, nor what the requests had in common. Now an attempt whose connection the server closed at the beginning of the answer is watched: if the agent beside the server finds it down, or an address without an agent refuses a connection, within 2 s, server_crashed names the request, whether its answer had begun and the shared parts of its prompt (never the last one), and a counter counts it. No decision changes.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -62,6 +62,8 @@
 	// load is what the server stated in the response received at loadAt.
 	load   Load
 	loadAt time.Time
+	// refusedAt is when the address last refused a connection.
+	refusedAt time.Time
 }
 
 // groupState is what this process knows about one group of ranks.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"bluebellwind.example/backends"
@@ -62,8 +63,9 @@
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID    uint64
 	hasLastEventID bool
-	// eventCount is the number of events sent to the caller.
-	eventCount int
+	// eventCount is the number of events sent to the caller, and attemptEvents the
+	// number received in the current attempt.
+	eventCount, attemptEvents int
 	// firstEventLatency is the time from the arrival of the request to its first
 	// event.
 	firstEventLatency time.Duration
@@ -235,6 +237,7 @@
 // relay relays the response of a server. mayHaveRunBefore says whether the request may
 // have run at another server.
 func (x *exchange) relay(choice *backends.Choice, response *upstream.Response, mayHaveRunBefore bool) attemptOutcome {
+	x.attemptEvents = 0
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	x.g.recordWithdrawal(choice, metadata)
 	if metadata.NotRun {
@@ -341,6 +344,13 @@
 		return outcomeCanceled
 	}
 	x.failureCause, x.serverGivenUp = err.Error(), errors.Is(err, upstream.ErrSilent)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		x.g.directory.RecordRefusedConnection(choice.ID, time.Now())
+	}
+	if sent {
+		x.attemptEvents = 0
+		x.watchBroken(choice, err, false)
+	}
 	if !errors.Is(err, upstream.ErrBusy) {
 		x.g.directory.RecordFailure(choice.ID, !sent, time.Now())
 	}
--- a/gateway/format.go
+++ b/gateway/format.go
@@ -25,6 +25,11 @@
 	// LastEventID is the ID of the last stream event that the caller has received;
 	// empty if the stream starts at its beginning.
 	LastEventID string
+	// Model is the model that the request is for; empty if not stated.
+	Model string
+	// SharedParts are the IDs of the parts of the prompt that other requests may share,
+	// in their order.
+	SharedParts []string
 }
 
 // RequestMetadata holds what the gateway states in the headers of a request to a
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -51,6 +51,17 @@
 		`why="the route allows no further server"`, "event=broken_off", "given_up=false", "events=5", "sends=2")
 }
 
+// What a request and the crash of its server have to do with each other could not be seen.
+func TestCrashOfAServerIsExplained(t *testing.T) {
+	h := newHarness(t)
+	crash := func(c net.Conn, r *http.Request) { writeEvents(c, r, 1, 0, false); c.Close() }
+	a := h.addServer("a", crash)
+	h.start()
+	h.send("/stream/x", "Id", "crash-1", "Parts", "p1,p2")
+	h.gateway.directory.UpdateStatus(a.Address, backends.Status{Up: false, ReceivedAt: time.Now()})
+	assertLogged(t, h.logLines("crash-1"), "event=server_crashed", "server=a", "begun=true", "parts=p1,p2")
+}
+
 func TestPanicOfAHandlerIsExplained(t *testing.T) {
 	h := newHarness(t)
 	h.addServer("a", func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -63,6 +63,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_answers_broken_off_total{given_up=\"%t\"}", serverGivenUp)).Inc()
 }
 
+// countCrash counts a request whose server crashed at the beginning of the answer. begun
+// says that the server had begun to answer.
+func (m *gatewayMetrics) countCrash(begun bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_requests_on_crashed_servers_total{begun=\"%t\"}", begun)).Inc()
+}
+
 func (m *gatewayMetrics) countPanic() {
 	m.set.GetOrCreateCounter("bluebellwind_panics_total").Inc()
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,6 +69,7 @@
 	}
 	x.failureCause, x.serverGivenUp = "the answer broke off: "+err.Error(), errors.Is(err, upstream.ErrSilent)
 	x.g.directory.RecordFailure(choice.ID, false, time.Now())
+	x.watchBroken(choice, err, true)
 	return outcomeFailed
 }
 
@@ -101,6 +102,7 @@
 			return x.handleBodyError(choice, err)
 		}
 		x.endStandby()
+		x.attemptEvents++
 		choice.RecordProgress(time.Now())
 		if !x.forwardEvent(response, ev) {
 			return outcomeCanceled
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -33,6 +33,7 @@
 	remaining, _ := strconv.Atoi(h.Get("Remaining"))
 	return Call{
 		ID: h.Get("Id"), Key: h.Get("Key"), Remaining: time.Duration(remaining) * time.Millisecond, LastEventID: h.Get("Last"),
+		SharedParts: strings.FieldsFunc(h.Get("Parts"), func(r rune) bool { return r == ',' }),
 	}
 }
 
