--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -59,6 +59,9 @@
 	response       platformtest.Response
 	arrivals       []platformtest.Arrival
 	ranOn          []string
+	// wholeUnframed says that a server has written its whole response without length
+	// and chunks.
+	wholeUnframed bool
 }
 
 func newHistory() *history {
@@ -103,6 +106,15 @@
 	}
 }
 
+// RecordUnframed implements platformtest.Recorder.
+func (h *history) RecordUnframed(id, _ string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a := h.attempts[id]; a != nil {
+		a.wholeUnframed = true
+	}
+}
+
 // allGateways is the target of faults that affect all gateways.
 const allGateways = "everyone"
 
