Play parts of prompts that crash ranks and unframed answers in the fault soak

Callers send prompts with shared parts. A fault sends requests with a part that crashes ranks, apart from the sound ones with whose key and first part they come; another makes servers answer without length and chunks. New checks: such requests stop reaching servers, sound ones beside them are still begun, whole unframed answers arrive. Prompt headers must reach servers unchanged. minDuration of a fault now holds also if it is drawn late.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -31,6 +32,9 @@
 	// revocableKeyShare is the share of the requests with API keys that may have
 	// been revoked.
 	revocableKeyShare = 0.3
+	// sharedKeyShare is the share of the sound requests with the API key that
+	// requests with a crashing part have.
+	sharedKeyShare = 0.2
 	// plainCallerTimeout and streamCallerTimeout are the timeouts that callers
 	// state in their requests.
 	plainCallerTimeout  = 1500 * time.Millisecond
@@ -103,6 +107,7 @@
 		if retryDelay > 0 && retryDelay < a.Timeout/3 {
 			sleep(ctx, retryDelay)
 			retry := *a
+			retry.isRetry, retry.wholeUnframed = true, false
 			retry.arrivals, retry.ranOn = nil, nil
 			retry.AttemptID = newAttemptID(rng)
 			retry.Timeout = a.Timeout - time.Since(a.sentAt)
@@ -123,6 +128,7 @@
 	switch routeDraw := rng.Float64(); {
 	case routeDraw < 0.4:
 		a.Path, a.RouteType, a.Timeout = streamPath, platformtest.Stream, streamCallerTimeout
+		a.Model, a.Prompt = modelName, drawPrompt(rng)
 	case routeDraw < 0.65:
 		a.Path, a.RouteType = unsafePath, platformtest.Unsafe
 	case routeDraw < 0.8:
@@ -130,8 +136,11 @@
 	default:
 		a.Path, a.RouteType = canaryPath, platformtest.Safe
 	}
-	if rng.Float64() < revocableKeyShare {
+	switch keyDraw := rng.Float64(); {
+	case keyDraw < revocableKeyShare:
 		a.APIKey, a.organisation = revocableKey(rng.IntN(revocableKeyCount)), revocableOrg
+	case keyDraw < revocableKeyShare+sharedKeyShare:
+		a.APIKey = sharedKey
 	}
 	return a
 }
@@ -143,23 +152,30 @@
 	// A request that is in flight when the run ends is completed.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Timeout+lateResponseWait)
 	defer cancel()
-	var disconnectedAt time.Time
 	abandons := rng.Float64() < abandonedShare
 	if abandons {
 		timer := time.AfterFunc(time.Duration(rng.Int64N(int64(maxAbandonDelay))), cancel)
 		defer timer.Stop()
 	}
+	response := r.sendTo(ctx, caller, g, a)
+	if !statesNotRun(response.Status) {
+		return 0
+	}
+	return response.RetryAfter
+}
+
+// sendTo sends a request to a gateway once and records it. The caller disconnects if
+// ctx is cancelled.
+func (r *testbed) sendTo(ctx context.Context, caller *platformtest.Caller, g *gatewayProcess, a *attempt) platformtest.Response {
 	a.gateway, a.startNumber, a.sentAt = g.settings.Name, g.startNumber(), time.Now()
 	r.history.recordSent(a)
 	response := caller.Do(ctx, g.callersAddress, a.Request)
-	if abandons && ctx.Err() != nil {
+	var disconnectedAt time.Time
+	if errors.Is(ctx.Err(), context.Canceled) {
 		disconnectedAt = time.Now()
 	}
 	r.history.recordResponse(a, response, disconnectedAt)
-	if !statesNotRun(response.Status) {
-		return 0
-	}
-	return response.RetryAfter
+	return response
 }
 
 // sleep waits until d has passed or ctx ends.
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -63,6 +63,9 @@
 	{"retries stay within the retry budget", (*history).retryBudgetExcess},
 	{"all ranks use the same map in a pass", func(h *history) []string { return h.mapViolations }},
 	{"no group stays stopped by a hold", func(h *history) []string { return h.heldGroups }},
+	{"requests with a part that crashed servers no longer reach them", (*history).crashingPartArrivals},
+	{"sound requests are begun beside a part that crashed servers", (*history).soundRequestsLost},
+	{"whole responses without length or chunks arrive", (*history).unframedLost},
 	{"requests succeed after the last fault", (*history).unservedRoutes},
 }
 
@@ -145,7 +148,8 @@
 func (h *history) alteredRequests() []string {
 	out := h.eachAttempt(func(a *attempt) string {
 		for _, got := range a.arrivals {
-			if got.Path != a.Path || got.Organisation != a.organisation || got.HasAPIKey {
+			if got.Path != a.Path || got.Organisation != a.organisation || got.HasAPIKey ||
+				got.Model != a.Model || got.TokenCounts != a.TokenCounts() || got.PromptPrefix != a.PromptPrefix() {
 				return fmt.Sprintf("arrived as %+v", got)
 			}
 		}
@@ -322,7 +326,7 @@
 	sent, served := make(map[string]int), make(map[string]int)
 	for _, a := range h.attempts {
 		_, revoked := h.keyRevokedAt[a.APIKey]
-		if a.sentAt.Before(h.faultsEndedAt.Add(recoveryTime)) || revoked || !a.disconnectedAt.IsZero() {
+		if a.sentAt.Before(h.faultsEndedAt.Add(recoveryTime)) || revoked || !a.disconnectedAt.IsZero() || a.crashingPart != "" {
 			continue
 		}
 		sent[a.Path]++
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,6 +29,7 @@
 	body := platformtest.Body(id)
 	if path == streamPath {
 		a.RouteType, body = platformtest.Stream, platformtest.StreamBody(id, groupShape.MeanEvents)
+		a.arrivals[0].TokenCounts = a.TokenCounts()
 	}
 	a.response = platformtest.Response{Status: http.StatusOK, Seal: platformtest.Seal("app-0", id), Body: body, RequestSent: true, Complete: true}
 	if modify != nil {
@@ -106,6 +108,20 @@
 		},
 		"all ranks use the same map in a pass": func(h *history) { h.mapViolations = []string{"two maps"} },
 		"no group stays stopped by a hold":     func(h *history) { h.heldGroups = []string{"g0"} },
+		"requests with a part that crashed servers no longer reach them": func(h *history) {
+			for i := range stoppedAfterCrashes {
+				h.partCrashes["bad"] = append(h.partCrashes["bad"], baseTime.Add(time.Duration(i)*time.Millisecond))
+			}
+			for _, id := range []string{"w", "x", "y", "z"} {
+				addAttempt(h, id, streamPath, maxStopDelay+time.Second, addCrashingPart)
+			}
+		},
+		"sound requests are begun beside a part that crashed servers": func(h *history) {
+			addComparedRequests(h, func(a *attempt) { a.ranOn = nil })
+		},
+		"whole responses without length or chunks arrive": func(h *history) {
+			addAttempt(h, "x", unsafePath, 0, func(a *attempt) { a.wholeUnframed, a.response.Complete = true, false })
+		},
 		"requests succeed after the last fault": func(h *history) {
 			h.attempts["a"].response.Complete = false
 		},
@@ -126,3 +142,78 @@
 	assert.Assert(t, h.gatewayUnaffected("gateway-0", baseTime.Add(5*time.Second), baseTime.Add(6*time.Second)))
 	assert.Assert(t, h.gatewayUnaffected("gateway-1", baseTime, baseTime.Add(time.Second)))
 }
+
+// addCrashingPart gives an attempt a prompt with a crashing part.
+func addCrashingPart(a *attempt) {
+	a.crashingPart, a.APIKey = "bad", sharedKey
+	a.Prompt = []platformtest.PromptPart{sharedPart("first"), sharedPart("bad"), {ID: "own", Tokens: ownPartTokens}}
+	setArrivalPrompt(a)
+}
+
+func setArrivalPrompt(a *attempt) {
+	a.arrivals[0].TokenCounts, a.arrivals[0].PromptPrefix = a.TokenCounts(), a.PromptPrefix()
+}
+
+// addComparedRequests adds requests with a crashing part from baseTime to 20 s later,
+// which crash a server at baseTime, and sound requests with their first part: as many
+// as are compared long after that crash, changed by modify, and as many before.
+func addComparedRequests(h *history, modify func(*attempt)) {
+	h.partCrashes["bad"] = []time.Time{baseTime}
+	addAttempt(h, "bad-first", streamPath, 0, addCrashingPart)
+	addAttempt(h, "bad-last", streamPath, 20*time.Second, addCrashingPart)
+	for i := range minComparedRequests {
+		sound := func(a *attempt) {
+			a.Prompt = []platformtest.PromptPart{sharedPart("first"), {ID: a.AttemptID, Tokens: ownPartTokens}}
+			setArrivalPrompt(a)
+		}
+		addAttempt(h, fmt.Sprintf("before-%d", i), streamPath, -time.Minute, sound)
+		addAttempt(h, fmt.Sprintf("during-%d", i), streamPath, soundDelay+time.Second, func(a *attempt) { sound(a); modify(a) })
+	}
+}
+
+func TestSoundRequestsBesideACrashingPart(t *testing.T) {
+	begun := 0
+	h := newHistory()
+	addComparedRequests(h, func(a *attempt) {
+		if begun++; begun > minComparedRequests/2 {
+			a.ranOn = nil
+		}
+	})
+	assert.DeepEqual(t, h.soundRequestsLost(), []string(nil))
+	h = newHistory()
+	addComparedRequests(h, func(a *attempt) { a.ranOn, a.isRetry = nil, true })
+	assert.DeepEqual(t, h.soundRequestsLost(), []string(nil))
+	h = newHistory()
+	addComparedRequests(h, func(a *attempt) { a.ranOn = nil })
+	assert.Equal(t, len(h.soundRequestsLost()), 1)
+	h.faultPeriods["rank-0-0"] = []faultPeriod{{begin: baseTime, end: baseTime.Add(soundDelay)}}
+	assert.DeepEqual(t, h.soundRequestsLost(), []string(nil))
+}
+
+func TestStoppedPartsExcuseGatewaysOutOfTouch(t *testing.T) {
+	newLateHistory := func() *history {
+		h := newHistory()
+		for range stoppedAfterCrashes {
+			h.partCrashes["bad"] = append(h.partCrashes["bad"], baseTime)
+		}
+		for i := range allowedAfterStop + 1 {
+			addAttempt(h, fmt.Sprintf("x%d", i), streamPath, maxStopDelay+time.Second, addCrashingPart)
+		}
+		return h
+	}
+	assert.Equal(t, len(newLateHistory().crashingPartArrivals()), 1)
+	h := newLateHistory()
+	h.partCrashes["bad"] = h.partCrashes["bad"][1:]
+	assert.Equal(t, len(h.crashingPartArrivals()), 0, "four crashes decide nothing")
+	h = newLateHistory()
+	h.faultPeriods[restartOf("gateway-0")] = []faultPeriod{{begin: baseTime, end: baseTime.Add(2 * time.Second)}}
+	assert.Equal(t, len(h.crashingPartArrivals()), 0, "a gateway that has just started is out of touch")
+}
+
+func TestChangedPromptHeadersAreSeen(t *testing.T) {
+	h := newHistory()
+	addAttempt(h, "x", streamPath, 0, addCrashingPart)
+	assert.Equal(t, len(h.alteredRequests()), 0)
+	h.attempts["x"].arrivals[0].PromptPrefix = "first:40"
+	assert.Equal(t, len(h.alteredRequests()), 1)
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,6 +91,10 @@
 		return func() func() { r.changeConfig(); return func() {} }
 	}},
 	{"several configurations in quick succession", 0, func(r *testbed, _ *rand.Rand) func() func() { return r.changeConfigRapidly }},
+	{"prompt part crashes ranks", minCrashingPeriod, func(r *testbed, rng *rand.Rand) func() func() { return r.sendCrashingPart(rng) }},
+	{"responses without length or chunks", 0, func(r *testbed, rng *rand.Rand) func() func() {
+		return r.unframeResponses(platformtest.ServerFault{Unframed: 0.2 + 0.8*rng.Float64(), TruncateResponse: 0.05 * rng.Float64()})
+	}},
 	{"key revoked", 0, func(r *testbed, _ *rand.Rand) func() func() {
 		return func() func() { r.revokeKey(); return func() {} }
 	}},
@@ -108,6 +112,7 @@
 		k := faultKinds[rng.IntN(len(faultKinds))]
 		duration := max(k.minDuration, minFaultDuration+time.Duration(rng.Int64N(int64(faultDurationSpread))))
 		at := time.Duration(rng.Int64N(int64(r.size.FaultPeriod)))
+		at = min(at, max(0, r.size.FaultPeriod-k.minDuration))
 		out = append(out, fault{
 			name: k.name, at: at, duration: min(duration, r.size.FaultPeriod-at), inject: k.prepare(r, rng),
 		})
@@ -161,9 +166,10 @@
 
 func (r *testbed) terminateGateway(g *gatewayProcess) func() func() {
 	return func() func() {
+		endRestart := r.history.beginFault(restartOf(g.settings.Name))
 		ended := make(chan struct{})
 		go func() { defer close(ended); g.terminate() }()
-		return func() { <-ended; r.restart(g.process) }
+		return func() { <-ended; r.restart(g.process); endRestart() }
 	}
 }
 
@@ -174,8 +180,10 @@
 		go func() {
 			defer close(ended)
 			for _, g := range r.gateways {
+				endRestart := r.history.beginFault(restartOf(g.settings.Name))
 				g.terminate()
 				r.restart(g.process)
+				endRestart()
 			}
 		}()
 		return func() { <-ended }
@@ -276,6 +284,23 @@
 	}
 }
 
+// unframeResponses makes all ranks and plain servers answer without length and chunks.
+func (r *testbed) unframeResponses(f platformtest.ServerFault) func() func() {
+	return func() func() {
+		plainServers := slices.Clone(r.plainServers)
+		set := func(f platformtest.ServerFault) {
+			for _, s := range r.ranks {
+				s.SetFault(f)
+			}
+			for _, s := range plainServers {
+				s.SetFault(f)
+			}
+		}
+		set(f)
+		return func() { set(platformtest.ServerFault{}) }
+	}
+}
+
 // drainServer replaces a plain server: it adds a new one and drains the oldest.
 func (r *testbed) drainServer() func() {
 	s, err := r.addPlainServer(fmt.Sprintf("app-new-%d", len(r.plainServers)), appService)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -26,6 +26,8 @@
 	// server, or allGateways. The checks do not blame a gateway for violations
 	// that such a fault can cause.
 	faultPeriods map[string][]faultPeriod
+	// partCrashes are the times of the crashes on each crashing part of prompts.
+	partCrashes map[string][]time.Time
 	// mapViolations describes the passes in which ranks used different maps.
 	// heldGroups are the groups that were still stopped by a hold at the end.
 	mapViolations, heldGroups []string
@@ -62,12 +64,17 @@
 	// wholeUnframed says that a server has written its whole response without length
 	// and chunks.
 	wholeUnframed bool
+	// crashingPart is the part of the prompt that crashes servers, empty in sound
+	// requests. isRetry says that the caller sent the request before.
+	crashingPart string
+	isRetry      bool
 }
 
 func newHistory() *history {
 	return &history{
 		attempts: make(map[string]*attempt), keyRevokedAt: make(map[string]time.Time),
 		drainingSince: make(map[string]time.Time), faultPeriods: make(map[string][]faultPeriod),
+		partCrashes: make(map[string][]time.Time),
 	}
 }
 
@@ -118,6 +125,12 @@
 // allGateways is the target of faults that affect all gateways.
 const allGateways = "everyone"
 
+// restartOf is the target of the planned restarts of a gateway, crashOf that of the
+// crashes of a rank on a part of a prompt. Both excuse less than a fault does.
+func restartOf(gateway string) string { return "restart of " + gateway }
+
+func crashOf(rank string) string { return "crash of " + rank }
+
 // beginFault records that a fault of a target begins: a gateway, allGateways or
 // a server whose link is affected. The returned function records its end.
 func (h *history) beginFault(target string) func() {
@@ -150,6 +163,12 @@
 	return true
 }
 
+func (h *history) recordPartCrash(part string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.partCrashes[part] = append(h.partCrashes[part], time.Now())
+}
+
 func (h *history) recordRevocation(key string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -52,7 +52,9 @@
 	canaryPath   = "/canary/"
 	permanentOrg = "steady"
 	permanentKey = "key-steady"
+	sharedKey    = "key-shared"
 	revocableOrg = "changing"
+	rankPrefix   = "rank-"
 	// canaryServiceCount is the number of services that the canary route leads to
 	// in turn, one for each configuration.
 	canaryServiceCount = 3
@@ -246,7 +248,7 @@
 	for i := range r.size.Groups {
 		var ids []string
 		for k := range r.size.RanksPerGroup {
-			ids = append(ids, fmt.Sprintf("rank-%d-%d", i, k))
+			ids = append(ids, fmt.Sprintf("%s%d-%d", rankPrefix, i, k))
 		}
 		shape := groupShape
 		shape.Ranks = r.size.RanksPerGroup
--- a/soak/run.go
+++ b/soak/run.go
@@ -27,6 +27,8 @@
 	// those that got a complete response with status 200. MapSwitches is the
 	// number of times that a group changed the map in use.
 	Requests, Served, MapSwitches int
+	// PartCrashes is the number of crashes on parts of prompts.
+	PartCrashes int
 }
 
 const (
@@ -42,6 +44,12 @@
 // their logs to dir. runIndex distinguishes runs that take place at the same
 // time. An error means that the run itself failed.
 func Run(ctx context.Context, daemon, dir string, seed uint64, runIndex int, size Size) (*Report, error) {
+	return runPlan(ctx, daemon, dir, seed, runIndex, size, schedule)
+}
+
+// runPlan is like Run with the faults that plan returns for the testbed and a source
+// of random numbers.
+func runPlan(ctx context.Context, daemon, dir string, seed uint64, runIndex int, size Size, plan func(*testbed, *rand.Rand) []fault) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r, err := newTestbed(ctx, daemon, dir, runIndex, size)
@@ -62,7 +70,7 @@
 		callers.Go(func() { r.runCaller(callersCtx, seed<<16+uint64(i), health) })
 	}
 	report := &Report{Seed: seed}
-	report.Faults = r.injectFaults(ctx, schedule(r, rand.New(rand.NewPCG(seed, 0))))
+	report.Faults = r.injectFaults(ctx, plan(r, rand.New(rand.NewPCG(seed, 0))))
 	r.history.recordFaultsEnded()
 	sleep(ctx, size.RecoveryPeriod-holdObservationTime)
 	r.recordHeldGroups(ctx)
@@ -71,6 +79,7 @@
 	r.recordMapSwitches()
 	report.Violations = r.history.verify()
 	report.Requests, report.Served = r.history.counts()
+	report.PartCrashes = r.history.countPartCrashes()
 	report.MapSwitches = r.history.mapSwitches
 	return report, r.failureError()
 }
@@ -153,6 +162,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, a := range h.attempts {
+		if a.crashingPart != "" {
+			continue
+		}
 		requests++
 		if a.response.Status == http.StatusOK && a.response.Complete {
 			served++
@@ -161,6 +173,16 @@
 	return requests, served
 }
 
+func (h *history) countPartCrashes() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, crashes := range h.partCrashes {
+		n += len(crashes)
+	}
+	return n
+}
+
 // recordFailure records an error of the run itself.
 func (r *testbed) recordFailure(err error) {
 	r.mu.Lock()
