Let a fixed run play unframed answers, and see whole ones that are asked for again

The fixed runs write the entry of a server every 300 ms, as servers do: without any write to the store, gateways refused requests since the configuration was not proved fresh, and the shares that the checks compare were of no use.

TestUnframedResponsesArrive fails: a gateway takes the end of an unframed stream for a break and asks for the stream again.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -107,7 +107,7 @@
 		if retryDelay > 0 && retryDelay < a.Timeout/3 {
 			sleep(ctx, retryDelay)
 			retry := *a
-			retry.isRetry, retry.wholeUnframed = true, false
+			retry.isRetry, retry.wholeUnframedAt = true, time.Time{}
 			retry.arrivals, retry.ranOn = nil, nil
 			retry.AttemptID = newAttemptID(rng)
 			retry.Timeout = a.Timeout - time.Since(a.sentAt)
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -120,7 +120,7 @@
 			addComparedRequests(h, func(a *attempt) { a.ranOn = nil })
 		},
 		"whole responses without length or chunks arrive": func(h *history) {
-			addAttempt(h, "x", unsafePath, 0, func(a *attempt) { a.wholeUnframed, a.response.Complete = true, false })
+			addAttempt(h, "x", unsafePath, 0, func(a *attempt) { a.wholeUnframedAt, a.response.Complete = a.endedAt, false })
 		},
 		"requests succeed after the last fault": func(h *history) {
 			h.attempts["a"].response.Complete = false
@@ -217,3 +217,16 @@
 	h.attempts["x"].arrivals[0].PromptPrefix = "first:40"
 	assert.Equal(t, len(h.alteredRequests()), 1)
 }
+
+func TestWholeUnframedResponsesAreNotAskedForAgain(t *testing.T) {
+	h := newHistory()
+	addAttempt(h, "x", streamPath, 0, func(a *attempt) { a.wholeUnframedAt = a.endedAt })
+	assert.Equal(t, len(h.unframedLost()), 0)
+	a := h.attempts["x"]
+	again := a.arrivals[0]
+	again.At = a.endedAt.Add(time.Millisecond)
+	a.arrivals = append(a.arrivals, again)
+	assert.Equal(t, len(h.unframedLost()), 1)
+	h.faultPeriods[crashOf("app-0")] = []faultPeriod{{begin: baseTime}}
+	assert.Equal(t, len(h.unframedLost()), 0)
+}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -61,9 +61,9 @@
 	response       platformtest.Response
 	arrivals       []platformtest.Arrival
 	ranOn          []string
-	// wholeUnframed says that a server has written its whole response without length
-	// and chunks.
-	wholeUnframed bool
+	// wholeUnframedAt is when a server had written its whole response without length
+	// and chunks, zero if none has.
+	wholeUnframedAt time.Time
 	// crashingPart is the part of the prompt that crashes servers, empty in sound
 	// requests. isRetry says that the caller sent the request before.
 	crashingPart string
@@ -118,7 +118,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if a := h.attempts[id]; a != nil {
-		a.wholeUnframed = true
+		a.wholeUnframedAt = time.Now()
 	}
 }
 
--- a/soak/partchecks.go
+++ b/soak/partchecks.go
@@ -171,18 +171,31 @@
 }
 
 // unframedLost finds responses without length and chunks that a server has written
-// whole and that did not arrive whole.
+// whole and that did not arrive whole, or were asked for again.
 func (h *history) unframedLost() []string {
 	return h.eachAttempt(func(a *attempt) string {
-		if !a.wholeUnframed || len(a.arrivals) != 1 || a.response.Status == http.StatusOK && a.response.Complete {
+		if a.wholeUnframedAt.IsZero() || len(a.arrivals) == 0 || h.unframedExcused(a) {
 			return ""
 		}
-		server := a.arrivals[0].Server
-		excused := !a.disconnectedAt.IsZero() || a.endedAt.Sub(a.sentAt) >= a.Timeout || a.startNumber == 0 ||
-			!h.gatewayUnaffected(a.gateway, a.sentAt, a.endedAt) || !h.unaffected(server, a.sentAt, a.endedAt) || !h.unaffected(crashOf(server), a.sentAt, a.endedAt)
-		if excused {
+		last := a.arrivals[len(a.arrivals)-1]
+		if last.At.After(a.wholeUnframedAt) {
+			return fmt.Sprintf("reached %s after %s had written the whole response", last.Server, a.arrivals[0].Server)
+		}
+		if a.response.Status == http.StatusOK && a.response.Complete || len(a.arrivals) > 1 {
 			return ""
 		}
-		return fmt.Sprintf("status %d, complete %v: %v", a.response.Status, a.response.Complete, a.response.Err)
+		return fmt.Sprintf("%s wrote it whole, status %d and %d bytes arrived in %v: %v",
+			last.Server, a.response.Status, len(a.response.Body), a.endedAt.Sub(a.sentAt).Round(time.Millisecond), a.response.Err)
 	})
 }
+
+// unframedExcused reports whether a response need not arrive whole: its caller left
+// or its time ran out, or its gateway or one of its servers was affected.
+func (h *history) unframedExcused(a *attempt) bool {
+	for _, got := range a.arrivals {
+		if !h.unaffected(got.Server, a.sentAt, a.endedAt) || !h.unaffected(crashOf(got.Server), a.sentAt, a.endedAt) {
+			return true
+		}
+	}
+	return !a.disconnectedAt.IsZero() || a.endedAt.Sub(a.sentAt) >= a.Timeout || a.startNumber == 0 || !h.gatewayUnaffected(a.gateway, a.sentAt, a.endedAt)
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -27,8 +27,9 @@
 	// those that got a complete response with status 200. MapSwitches is the
 	// number of times that a group changed the map in use.
 	Requests, Served, MapSwitches int
-	// PartCrashes is the number of crashes on parts of prompts.
-	PartCrashes int
+	// PartCrashes is the number of crashes on parts of prompts, Unframed the number of
+	// whole responses without length and chunks.
+	PartCrashes, Unframed int
 }
 
 const (
@@ -79,7 +80,7 @@
 	r.recordMapSwitches()
 	report.Violations = r.history.verify()
 	report.Requests, report.Served = r.history.counts()
-	report.PartCrashes = r.history.countPartCrashes()
+	report.PartCrashes, report.Unframed = r.history.countPartCrashes(), r.history.countUnframed()
 	report.MapSwitches = r.history.mapSwitches
 	return report, r.failureError()
 }
@@ -183,6 +184,18 @@
 	return n
 }
 
+func (h *history) countUnframed() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, a := range h.attempts {
+		if !a.wholeUnframedAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // recordFailure records an error of the run itself.
 func (r *testbed) recordFailure(err error) {
 	r.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/platform/platformtest"
 )
 
 // regressionSeeds are seeds that failed once, each with its cause.
@@ -30,7 +32,7 @@
 	for run, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			dir := logDir(t, seed)
+			dir := logDir(t, strconv.FormatUint(seed, 10))
 			report, err := Run(context.Background(), daemon, dir, seed, run, size())
 			assert.NilError(t, err)
 			checkReport(t, report, dir)
@@ -46,25 +48,62 @@
 }
 
 func checkReport(t *testing.T, report *Report, dir string) {
-	t.Logf("%d requests, %d served, %d map switches, %d crashes on parts of prompts", report.Requests, report.Served, report.MapSwitches, report.PartCrashes)
+	t.Logf("%d requests, %d served, %d map switches, %d crashes on parts of prompts, %d unframed responses",
+		report.Requests, report.Served, report.MapSwitches, report.PartCrashes, report.Unframed)
 	if len(report.Violations) > 0 {
 		t.Errorf("seed %d, logs in %s, faults:\n%s\nviolations:\n%s",
 			report.Seed, dir, strings.Join(report.Faults, "\n"), strings.Join(report.Violations, "\n"))
 	}
 }
 
-// TestCrashingPromptPartIsStopped sends requests with a part that crashes ranks, and
-// injects no other fault. The fault lasts longer than the bounds of the checks.
-func TestCrashingPromptPartIsStopped(t *testing.T) {
-	size := Size{Gateways: 3, Groups: 2, RanksPerGroup: 4, PlainServers: 3, Callers: 24, FaultPeriod: 11 * time.Second, RecoveryPeriod: 7 * time.Second}
-	dir := t.TempDir()
-	report, err := runPlan(context.Background(), buildDaemon(t), dir, 1, 0, size, func(r *testbed, rng *rand.Rand) []fault {
+// fixedSize returns the size of runs with a single fault that is not drawn.
+func fixedSize(faultPeriod time.Duration) Size {
+	return Size{Gateways: 3, Groups: 2, RanksPerGroup: 4, PlainServers: 3, Callers: 24, FaultPeriod: faultPeriod, RecoveryPeriod: 7 * time.Second}
+}
+
+// heartbeatInterval is the interval at which a server writes its entry again in fixed
+// runs, as servers of the platform do.
+const heartbeatInterval = 300 * time.Millisecond
+
+// heartbeat writes the entry of a server again and again until ctx ends.
+func heartbeat(ctx context.Context, store *platformtest.Store, entry platformtest.ServerEntry) {
+	for ctx.Err() == nil {
+		store.PutServer(entry)
+		sleep(ctx, heartbeatInterval)
+	}
+}
+
+// runFixed injects one fault from 500 ms after the start until the end of the fault
+// period.
+func runFixed(t *testing.T, size Size, name string, prepare func(r *testbed, rng *rand.Rand) func() func()) *Report {
+	dir := logDir(t, t.Name())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	report, err := runPlan(ctx, buildDaemon(t), dir, 1, 0, size, func(r *testbed, rng *rand.Rand) []fault {
+		go heartbeat(ctx, r.store, r.plainServers[0].entry)
 		start := 500 * time.Millisecond
-		return []fault{{name: "prompt part crashes ranks", at: start, duration: size.FaultPeriod - start, inject: r.sendCrashingPart(rng)}}
+		return []fault{{name: name, at: start, duration: size.FaultPeriod - start, inject: prepare(r, rng)}}
 	})
 	assert.NilError(t, err)
-	assert.Assert(t, report.PartCrashes > 0, "the part must have crashed ranks")
 	checkReport(t, report, dir)
+	return report
+}
+
+// TestCrashingPromptPartIsStopped sends requests with a part that crashes ranks, and
+// injects no other fault. The fault lasts longer than the bounds of the checks.
+func TestCrashingPromptPartIsStopped(t *testing.T) {
+	report := runFixed(t, fixedSize(11*time.Second), "prompt part crashes ranks",
+		func(r *testbed, rng *rand.Rand) func() func() { return r.sendCrashingPart(rng) })
+	assert.Assert(t, report.PartCrashes > 0, "the part must have crashed ranks")
+}
+
+// TestUnframedResponsesArrive lets all servers answer without length and chunks, and
+// reset or cut some of these responses.
+func TestUnframedResponsesArrive(t *testing.T) {
+	report := runFixed(t, fixedSize(4*time.Second), "responses without length or chunks", func(r *testbed, _ *rand.Rand) func() func() {
+		return r.unframeResponses(platformtest.ServerFault{Unframed: 1, TruncateResponse: 0.02})
+	})
+	assert.Assert(t, report.Unframed > 0, "servers must have written whole responses without length and chunks")
 }
 
 func size() Size {
@@ -94,12 +133,12 @@
 	return out
 }
 
-func logDir(t *testing.T, seed uint64) string {
+func logDir(t *testing.T, name string) string {
 	kept := os.Getenv("BBW_FAULT_LOGS")
 	if kept == "" {
 		return t.TempDir()
 	}
-	dir := filepath.Join(kept, strconv.FormatUint(seed, 10))
+	dir := filepath.Join(kept, name)
 	assert.NilError(t, os.MkdirAll(dir, 0o750))
 	return dir
 }
