Compare sound requests with those before a crashing part and those after

A daemon that goes on refusing sound requests afterwards lowered the mark it was held to. The fixed run sends sound requests for 3 s first.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -186,6 +186,13 @@
 	h = newHistory()
 	addComparedRequests(h, func(a *attempt) { a.ranOn = nil })
 	assert.Equal(t, len(h.soundRequestsLost()), 1)
+	for i := range minComparedRequests {
+		addAttempt(h, fmt.Sprintf("after-%d", i), streamPath, time.Minute, func(a *attempt) {
+			a.Prompt, a.ranOn = h.attempts["before-0"].Prompt, nil
+			setArrivalPrompt(a)
+		})
+	}
+	assert.Equal(t, len(h.soundRequestsLost()), 1, "sound requests that stay refused afterwards must not lower the mark")
 	h.faultPeriods["rank-0-0"] = []faultPeriod{{begin: baseTime, end: baseTime.Add(soundDelay)}}
 	assert.DeepEqual(t, h.soundRequestsLost(), []string(nil))
 }
--- a/soak/partchecks.go
+++ b/soak/partchecks.go
@@ -104,55 +104,68 @@
 func (c begunCount) share() float64 { return float64(c.begun) / float64(c.sent) }
 
 // soundRequestsLost compares the sound requests that share the key, or the first
-// part, of requests with a crashing part while those come and while none do.
+// part, of requests with a crashing part while those come with the ones before any
+// came and those after, whichever fared better: a cure that keeps refusing sound
+// requests afterwards must not lower the mark.
 func (h *history) soundRequestsLost() []string {
 	periods := h.crashingPeriods()
 	var out []string
 	for part, p := range periods {
 		for key := range p.keys {
-			during, otherwise := h.countBegun(periods, p, func(a *attempt) bool { return a.APIKey == key })
-			out = append(out, compareBegun(during, otherwise, "key "+key, part)...)
+			counts := h.countBegun(periods, p, func(a *attempt) bool { return a.APIKey == key })
+			out = append(out, counts.compare("key "+key, part)...)
 		}
 		for first := range p.first {
-			during, otherwise := h.countBegun(periods, p, func(a *attempt) bool { return len(a.Prompt) > 0 && a.Prompt[0].ID == first })
-			out = append(out, compareBegun(during, otherwise, "first part "+first, part)...)
+			counts := h.countBegun(periods, p, func(a *attempt) bool { return len(a.Prompt) > 0 && a.Prompt[0].ID == first })
+			out = append(out, counts.compare("first part "+first, part)...)
 		}
 	}
 	return out
 }
 
-func compareBegun(during, otherwise begunCount, shared, part string) []string {
-	if min(during.sent, otherwise.sent) < minComparedRequests || during.share() >= minBegunRatio*otherwise.share() {
-		return nil
+// begunCounts counts sound requests while requests with a crashing part come, before
+// any did, and after.
+type begunCounts struct{ before, during, after begunCount }
+
+// compare returns the violation of the requests that share a key or first part with
+// those with a crashing part.
+func (c begunCounts) compare(shared, part string) []string {
+	for _, otherwise := range []begunCount{c.before, c.after} {
+		if min(c.during.sent, otherwise.sent) >= minComparedRequests && c.during.share() < minBegunRatio*otherwise.share() {
+			return []string{fmt.Sprintf("with %s: %d of %d begun while part %s came, %d of %d before, %d of %d after", shared,
+				c.during.begun, c.during.sent, part, c.before.begun, c.before.sent, c.after.begun, c.after.sent)}
+		}
 	}
-	return []string{fmt.Sprintf("with %s: %d of %d begun while part %s came, %d of %d otherwise",
-		shared, during.begun, during.sent, part, otherwise.begun, otherwise.sent)}
+	return nil
 }
 
 // countBegun counts the sound requests of the route of p that match, while requests
-// with its part come and while none with any crashing part do.
-func (h *history) countBegun(periods map[string]*crashingPeriod, p *crashingPeriod, matches func(*attempt) bool) (during, otherwise begunCount) {
+// with its part come, before any with a crashing part did, and after the last.
+func (h *history) countBegun(periods map[string]*crashingPeriod, p *crashingPeriod, matches func(*attempt) bool) begunCounts {
+	var c begunCounts
 	for _, a := range h.attempts {
 		if a.crashingPart != "" || a.Path != p.path || !matches(a) || !h.undisturbed(a) {
 			continue
 		}
 		switch {
 		case !p.decidingCrashAt.IsZero() && a.sentAt.After(p.decidingCrashAt.Add(soundDelay)) && a.sentAt.Before(p.lastSentAt):
-			during.add(a)
-		case outsideOf(periods, a.sentAt):
-			otherwise.add(a)
+			c.during.add(a)
+		case !anyPeriod(periods, func(p *crashingPeriod) bool { return a.sentAt.After(p.firstSentAt) }):
+			c.before.add(a)
+		case !anyPeriod(periods, func(p *crashingPeriod) bool { return a.sentAt.Before(p.lastSentAt.Add(faultGrace)) }):
+			c.after.add(a)
 		}
 	}
-	return during, otherwise
+	return c
 }
 
-func outsideOf(periods map[string]*crashingPeriod, at time.Time) bool {
+func anyPeriod(periods map[string]*crashingPeriod, holds func(*crashingPeriod) bool) bool {
 	for _, p := range periods {
-		if at.After(p.firstSentAt) && at.Before(p.lastSentAt.Add(faultGrace)) {
-			return false
+		if holds(p) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // undisturbed reports whether an attempt was the first of its request, ran its course
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,7 +58,7 @@
 
 // fixedSize returns the size of runs with a single fault that is not drawn.
 func fixedSize(faultPeriod time.Duration) Size {
-	return Size{Gateways: 3, Groups: 2, RanksPerGroup: 4, PlainServers: 3, Callers: 24, FaultPeriod: faultPeriod, RecoveryPeriod: 7 * time.Second}
+	return Size{Gateways: 3, Groups: 2, RanksPerGroup: 4, PlainServers: 3, Callers: 24, FaultPeriod: faultPeriod, RecoveryPeriod: 6 * time.Second}
 }
 
 // heartbeatInterval is the interval at which a server writes its entry again in fixed
@@ -73,15 +73,13 @@
 	}
 }
 
-// runFixed injects one fault from 500 ms after the start until the end of the fault
-// period.
-func runFixed(t *testing.T, size Size, name string, prepare func(r *testbed, rng *rand.Rand) func() func()) *Report {
+// runFixed injects one fault from the time start until the end of the fault period.
+func runFixed(t *testing.T, size Size, start time.Duration, name string, prepare func(r *testbed, rng *rand.Rand) func() func()) *Report {
 	dir := logDir(t, t.Name())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	report, err := runPlan(ctx, buildDaemon(t), dir, 1, 0, size, func(r *testbed, rng *rand.Rand) []fault {
 		go heartbeat(ctx, r.store, r.plainServers[0].entry)
-		start := 500 * time.Millisecond
 		return []fault{{name: name, at: start, duration: size.FaultPeriod - start, inject: prepare(r, rng)}}
 	})
 	assert.NilError(t, err)
@@ -92,7 +90,7 @@
 // TestCrashingPromptPartIsStopped sends requests with a part that crashes ranks, and
 // injects no other fault. The fault lasts longer than the bounds of the checks.
 func TestCrashingPromptPartIsStopped(t *testing.T) {
-	report := runFixed(t, fixedSize(11*time.Second), "prompt part crashes ranks",
+	report := runFixed(t, fixedSize(13*time.Second), 3*time.Second, "prompt part crashes ranks",
 		func(r *testbed, rng *rand.Rand) func() func() { return r.sendCrashingPart(rng) })
 	assert.Assert(t, report.PartCrashes > 0, "the part must have crashed ranks")
 }
@@ -100,7 +98,7 @@
 // TestUnframedResponsesArrive lets all servers answer without length and chunks, and
 // reset or cut some of these responses.
 func TestUnframedResponsesArrive(t *testing.T) {
-	report := runFixed(t, fixedSize(4*time.Second), "responses without length or chunks", func(r *testbed, _ *rand.Rand) func() func() {
+	report := runFixed(t, fixedSize(4*time.Second), 500*time.Millisecond, "responses without length or chunks", func(r *testbed, _ *rand.Rand) func() func() {
 		return r.unframeResponses(platformtest.ServerFault{Unframed: 1, TruncateResponse: 0.02})
 	})
 	assert.Assert(t, report.Unframed > 0, "servers must have written whole responses without length and chunks")
