Hold requests back that share a prompt part with those that crash servers

Cause: nothing connected requests with the crashes that they cause. The product's suspects were not connected here and compare whole texts. Class: a fault that comes with the request is treated as one of the server, and spread by retries.

Now package quarantine keeps, for each trait that requests may share, the servers that crashed under it at the beginning of an answer and when an answer with it was last completed; gateways tell each other. A part that nobody knows from completed answers is held after one crash, a known one after three apart, a repeated request after three servers; what is held is refused at once with the time at which a probe may go, and what is under way without an event is ended. A request that broke off at its beginning is not sent on before it is known whether its server crashed. Keys and other parts are never held by a completed answer's knowledge.

Ruled out: holding the caller's key (sound requests share it), counting crashes by whole texts, three crashes for every part (another cycle of both groups).

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
+	"hash/fnv"
 	"io"
 	"strings"
 	"syscall"
 	"time"
 
 	"bluebellwind.example/backends"
+	"bluebellwind.example/quarantine"
 )
 
 const (
@@ -26,7 +29,9 @@
 	server backends.Server
 	at     time.Time
 	// begun says that the server had begun to answer.
-	begun bool
+	begun  bool
+	call   Call
+	traits []quarantine.Trait
 }
 
 // closedByServer reports whether an attempt failed with err because the server closed or
@@ -46,18 +51,26 @@
 	if x.attemptEvents >= provenEvents || !closedByServer(err) {
 		return
 	}
-	broken := brokenAttempt{server: choice.Server, at: time.Now(), begun: begun}
-	call := x.call
-	go x.g.confirmCrash(broken, call)
+	broken := brokenAttempt{server: choice.Server, at: time.Now(), begun: begun, call: x.call, traits: x.traits}
+	known := make(chan struct{})
+	x.crashConfirmed = known
+	go func() {
+		defer close(known)
+		x.g.confirmCrash(&broken)
+	}()
 }
 
-// confirmCrash waits until it is known that the server has crashed, and records that.
-func (g *Gateway) confirmCrash(broken brokenAttempt, call Call) {
+// confirmCrash waits until it is known whether the server has crashed, and records it if
+// it has.
+func (g *Gateway) confirmCrash(broken *brokenAttempt) {
 	ticker := time.NewTicker(crashPollInterval)
 	defer ticker.Stop()
 	for now := range ticker.C {
-		if g.directory.Crashed(&broken.server, broken.at) {
-			g.recordCrash(broken, call)
+		switch g.directory.CrashStateOf(&broken.server, broken.at) {
+		case backends.CrashConfirmed:
+			g.recordCrash(broken)
+			return
+		case backends.CrashRuledOut:
 			return
 		}
 		if now.Sub(broken.at) > crashConfirmTimeout {
@@ -67,9 +80,20 @@
 }
 
 // recordCrash records that a server crashed at the beginning of the answer to a call.
-func (g *Gateway) recordCrash(broken brokenAttempt, call Call) {
+func (g *Gateway) recordCrash(broken *brokenAttempt) {
+	now := time.Now()
+	strike := quarantine.Strike{Server: hashServer(&broken.server), At: broken.at, Begun: broken.begun}
+	g.tellSuspicions(g.quarantine.RecordCrash(broken.traits, strike, now))
+	g.attempts.cancelHeld(g.quarantine)
 	g.metrics.countCrash(broken.begun)
-	g.log.Warn().Str("event", "server_crashed").Str("request", call.ID).Str("server", broken.server.ID).
-		Bool("begun", broken.begun).Str("model", call.Model).Str("parts", strings.Join(call.SharedParts, ",")).
-		Int64("confirmed_ms", time.Since(broken.at).Milliseconds()).Msg("")
+	g.log.Warn().Str("event", "server_crashed").Str("request", broken.call.ID).Str("server", broken.server.ID).
+		Bool("begun", broken.begun).Str("model", broken.call.Model).Str("parts", strings.Join(broken.call.SharedParts, ",")).
+		Int64("confirmed_ms", now.Sub(broken.at).Milliseconds()).Int("held", g.quarantine.HeldCount(now)).Msg("")
+}
+
+// hashServer identifies a server and its start.
+func hashServer(s *backends.Server) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s %d", s.ID, s.Started) // Write of a hash never fails.
+	return h.Sum64()
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"bluebellwind.example/backends"
 	"bluebellwind.example/ingress"
+	"bluebellwind.example/quarantine"
 	"bluebellwind.example/upstream"
 	"bluebellwind.example/verdict"
 )
@@ -77,6 +78,17 @@
 	standbyNotBefore time.Time
 	// standbyMayHaveRun is set if the request may have run at a standby that failed.
 	standbyMayHaveRun bool
+	// traits are what the request may have in common with others.
+	traits []quarantine.Trait
+	// isProbe is set if the request was admitted although it has held traits.
+	isProbe bool
+	// attempt is the current attempt until its first event; nil if it must not be
+	// ended, and attemptCtx the context of the attempt.
+	attempt    *attempt
+	attemptCtx context.Context
+	// crashConfirmed is closed once it is known whether the server of the last attempt
+	// crashed; nil if the attempt did not break off at its beginning.
+	crashConfirmed <-chan struct{}
 	// failureCause is why the latest attempt failed, for the log.
 	failureCause string
 	// serverGivenUp is set if the latest attempt ended because the server was silent,
@@ -101,6 +113,8 @@
 	// outcomeConfigStale means that nothing was sent because beforeSend returned
 	// errConfigStale.
 	outcomeConfigStale
+	// outcomeQuarantined means that the attempt was ended because its request is held.
+	outcomeQuarantined
 )
 
 // maxSelections is the maximum number of servers selected for one request,
@@ -112,6 +126,10 @@
 func (x *exchange) run() {
 	defer x.endStandby()
 	for {
+		if refusal := x.checkQuarantine(); refusal != nil {
+			x.refuseOrAbort(refusal)
+			return
+		}
 		choice, err := x.selectServer()
 		if err != nil {
 			x.refuseOrAbort(verdict.AsError(err))
@@ -130,8 +148,17 @@
 		case outcomeConfigStale:
 			x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(x.g.staleDelay()))
 			return
+		case outcomeQuarantined:
+			x.refuseOrAbort(x.quarantineRefusal(0))
+			return
 		}
 		x.markTried(x.choice)
+		x.awaitCrashConfirmation()
+		if x.eventCount < provenEvents && x.g.quarantine.HoldsAny(x.traits, time.Now()) {
+			x.g.logFailedAttempt(x, x.choice, "no_retry", "the request is held")
+			x.refuseOrAbort(x.quarantineRefusal(x.g.refusalDelay()))
+			return
+		}
 		if denial := x.claimRetry(result); denial != "" {
 			x.g.logFailedAttempt(x, x.choice, "no_retry", denial)
 			x.refuseOrAbort(verdict.Refuse(verdict.Overloaded, x.verdict(), denial).WithRetryAfter(x.g.refusalDelay()))
@@ -222,11 +249,10 @@
 // choice.
 func (x *exchange) sendTo(choice *backends.Choice) attemptOutcome {
 	defer choice.Release()
-	ctx, cancel := context.WithCancel(x.ctx)
-	defer cancel()
+	defer x.startAttempt()()
 	x.failureCause, x.serverGivenUp = "", false
 	mayHaveRunBefore := x.mayHaveRun
-	response, err := x.g.pool.Send(ctx, x.newUpstreamRequest(choice))
+	response, err := x.g.pool.Send(x.attemptCtx, x.newUpstreamRequest(choice))
 	if err != nil {
 		return x.handleSendError(choice, err)
 	}
@@ -234,6 +260,35 @@
 	return x.relay(choice, response, mayHaveRunBefore)
 }
 
+// startAttempt sets the context of a new attempt, which may be ended until its first
+// event. It returns the function that ends the attempt.
+func (x *exchange) startAttempt() func() {
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	x.attemptCtx = ctx
+	x.attempt = nil
+	x.attempt = x.trackAttempt(cancel)
+	return func() {
+		x.g.attempts.remove(x.attempt)
+		cancel(nil)
+	}
+}
+
+// trackAttempt makes an attempt one that may be ended until its first event; it returns
+// nil if it must not be ended.
+func (x *exchange) trackAttempt(cancel context.CancelCauseFunc) *attempt {
+	if !x.route.Repeatable() || x.isProbe || x.eventCount > 0 || len(x.call.SharedParts) == 0 {
+		return nil
+	}
+	a := &attempt{traits: x.traits, cancel: cancel}
+	x.g.attempts.add(a)
+	return a
+}
+
+// quarantined reports whether the current attempt was ended because its request is held.
+func (x *exchange) quarantined() bool {
+	return x.attemptCtx != nil && errors.Is(context.Cause(x.attemptCtx), errQuarantined)
+}
+
 // relay relays the response of a server. mayHaveRunBefore says whether the request may
 // have run at another server.
 func (x *exchange) relay(choice *backends.Choice, response *upstream.Response, mayHaveRunBefore bool) attemptOutcome {
@@ -343,6 +398,9 @@
 	if x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
+	if x.quarantined() {
+		return outcomeQuarantined
+	}
 	x.failureCause, x.serverGivenUp = err.Error(), errors.Is(err, upstream.ErrSilent)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		x.g.directory.RecordRefusedConnection(choice.ID, time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"bluebellwind.example/backends"
 	"bluebellwind.example/discovery"
+	"bluebellwind.example/quarantine"
 	"bluebellwind.example/routing/retry"
 	"bluebellwind.example/upstream"
 )
@@ -82,7 +83,12 @@
 	// OnLeaving is called once for each server that says to this gateway that it
 	// leaves, by the goroutine of the request; it may be nil.
 	OnLeaving func(backends.Server)
-	Log       *log.Logger
+	// OnSuspicions is called with what the other gateways should be told of requests
+	// under which servers crashed; it may be nil.
+	OnSuspicions func([]quarantine.Suspicion)
+	// Seed must differ between gateways.
+	Seed uint64
+	Log  *log.Logger
 }
 
 // Gateway serves callers' requests. It is safe for concurrent use.
@@ -96,6 +102,8 @@
 	log         *log.Logger
 	metrics     *gatewayMetrics
 	malformed   malformedLog
+	quarantine  *quarantine.Registry
+	attempts    attemptSet
 	limits      atomic.Pointer[Limits]
 	callerConns *callerConns
 	draining    atomic.Bool
@@ -118,6 +126,7 @@
 		follower:    o.Follower,
 		retryBudget: retry.NewWindow(o.Limits.RetryWindow),
 		pool:        upstream.NewPool(),
+		quarantine:  quarantine.NewRegistry(o.Seed),
 		log:         o.Log,
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,6 +41,7 @@
 		_, failed := g.follower.SourceCalls()
 		return float64(failed)
 	})
+	set.NewGauge("bluebellwind_quarantine_held_traits", func() float64 { return float64(g.quarantine.HeldCount(time.Now())) })
 	set.NewGauge("bluebellwind_server_connections_opened", func() float64 { return float64(g.pool.DialAttempts()) })
 	return m
 }
@@ -69,6 +70,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_requests_on_crashed_servers_total{begun=\"%t\"}", begun)).Inc()
 }
 
+// countProbe counts a request that was admitted although it has held traits.
+func (m *gatewayMetrics) countProbe() {
+	m.set.GetOrCreateCounter("bluebellwind_quarantine_probes_total").Inc()
+}
+
 func (m *gatewayMetrics) countPanic() {
 	m.set.GetOrCreateCounter("bluebellwind_panics_total").Inc()
 }
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"bluebellwind.example/quarantine"
+	"bluebellwind.example/verdict"
+)
+
+// crashRetryWait is how long a request whose server may have crashed waits for that to be
+// known before it is sent to another server.
+const crashRetryWait = 400 * time.Millisecond
+
+// errQuarantined is the cause of the end of an attempt whose request is held since it was
+// sent.
+var errQuarantined = errors.New("gateway: requests like this one crash their servers")
+
+// partTraits returns the traits of the prompt of a call.
+func partTraits(call *Call) []quarantine.Trait {
+	var traits []quarantine.Trait
+	for _, part := range call.SharedParts {
+		traits = append(traits, quarantine.NewTrait(quarantine.PromptPart, []byte(call.Model), []byte(part)))
+	}
+	return traits
+}
+
+// requestTraits returns all traits of a request: those of its prompt, and itself.
+func requestTraits(x *exchange) []quarantine.Trait {
+	whole := quarantine.NewTrait(quarantine.WholeRequest,
+		[]byte(x.organisation), []byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), x.body)
+	return append(partTraits(&x.call), whole)
+}
+
+// checkQuarantine returns a refusal if the request must not be sent, because of crashes
+// under requests with the same traits.
+func (x *exchange) checkQuarantine() *verdict.Error {
+	if x.eventCount >= provenEvents {
+		return nil
+	}
+	d := x.g.quarantine.Decide(x.traits, time.Now())
+	x.g.tellSuspicions(d.Changed)
+	if d.Held {
+		return x.quarantineRefusal(d.RetryAfter)
+	}
+	if d.Probe {
+		x.isProbe = true
+		x.g.metrics.countProbe()
+		x.g.log.Info().Str("event", "quarantine_probe").Str("request", x.call.ID).Msg("")
+	}
+	return nil
+}
+
+func (x *exchange) quarantineRefusal(retryAfter time.Duration) *verdict.Error {
+	return verdict.Refuse(verdict.Quarantined, x.verdict(), "requests like this one crash their servers").WithRetryAfter(retryAfter)
+}
+
+// awaitCrashConfirmation waits, after an attempt broke off at its beginning, until it is
+// known whether the server crashed. Requests whose parts are known from completed answers
+// do not wait.
+func (x *exchange) awaitCrashConfirmation() {
+	confirmed := x.crashConfirmed
+	x.crashConfirmed = nil
+	if confirmed == nil || !x.isProbe && x.g.quarantine.Known(partTraits(&x.call), time.Now()) {
+		return
+	}
+	timeout := time.NewTimer(crashRetryWait)
+	defer timeout.Stop()
+	select {
+	case <-confirmed:
+	case <-timeout.C:
+	case <-x.ctx.Done():
+	}
+}
+
+// recordCompleted records an answer that was completed.
+func (x *exchange) recordCompleted() {
+	x.g.tellSuspicions(x.g.quarantine.RecordCompleted(x.traits, time.Now()))
+}
+
+// tellSuspicions tells the other gateways what has changed.
+func (g *Gateway) tellSuspicions(changed []quarantine.Suspicion) {
+	if len(changed) > 0 && g.options.OnSuspicions != nil {
+		g.options.OnSuspicions(changed)
+	}
+}
+
+// MergeSuspicions adds what another gateway tells. The results are those of
+// quarantine.Registry.Merge.
+func (g *Gateway) MergeSuspicions(told []quarantine.Suspicion) (answers, learned []quarantine.Suspicion) {
+	answers, learned = g.quarantine.Merge(told, time.Now())
+	g.attempts.cancelHeld(g.quarantine)
+	return answers, learned
+}
+
+// ActiveSuspicions returns what other gateways should know of crashes.
+func (g *Gateway) ActiveSuspicions() []quarantine.Suspicion {
+	return g.quarantine.Active(time.Now())
+}
+
+// attempt is an attempt at a request that may be repeated, until the first event or the
+// end of its answer.
+type attempt struct {
+	traits []quarantine.Trait
+	cancel context.CancelCauseFunc
+}
+
+// attemptSet holds the open attempts. It is safe for concurrent use; the zero value is
+// empty.
+type attemptSet struct {
+	mu   sync.Mutex
+	open map[*attempt]struct{}
+}
+
+// add adds an attempt.
+func (s *attemptSet) add(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[*attempt]struct{})
+	}
+	s.open[a] = struct{}{}
+}
+
+// remove removes an attempt; it may have been removed before, or be nil.
+func (s *attemptSet) remove(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, a)
+}
+
+// cancelHeld ends the attempts with a part of the prompt that is held now, before their
+// servers begin to answer.
+func (s *attemptSet) cancelHeld(registry *quarantine.Registry) {
+	now := time.Now()
+	if registry.HeldCount(now) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.open {
+		for _, t := range a.traits {
+			if t.Kind == quarantine.PromptPart && registry.Holds(t, now) {
+				a.cancel(errQuarantined)
+				delete(s.open, a)
+				break
+			}
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -60,6 +60,9 @@
 	if response.Status < http.StatusInternalServerError {
 		x.g.directory.RecordSuccess(choice.ID, metadata.Load, time.Now())
 	}
+	if response.Status < http.StatusMultipleChoices {
+		x.recordCompleted()
+	}
 }
 
 // handleBodyError records and classifies a response that broke off in its body.
@@ -67,6 +70,9 @@
 	if x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
+	if x.quarantined() {
+		return outcomeQuarantined
+	}
 	x.failureCause, x.serverGivenUp = "the answer broke off: "+err.Error(), errors.Is(err, upstream.ErrSilent)
 	x.g.directory.RecordFailure(choice.ID, false, time.Now())
 	x.watchBroken(choice, err, true)
@@ -103,6 +109,7 @@
 		}
 		x.endStandby()
 		x.attemptEvents++
+		x.g.attempts.remove(x.attempt)
 		choice.RecordProgress(time.Now())
 		if !x.forwardEvent(response, ev) {
 			return outcomeCanceled
@@ -144,6 +151,9 @@
 // the stream had no events.
 func (x *exchange) finishStream(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
 	x.g.directory.RecordSuccess(choice.ID, metadata.Load, time.Now())
+	if x.eventCount > 0 {
+		x.recordCompleted()
+	}
 	x.startStream(response)
 	x.g.logResponseEnd(x, "answered", strconv.Itoa(response.Status))
 	return outcomeAnswered
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,6 +47,7 @@
 		return
 	}
 	x.body = body
+	x.traits = requestTraits(x)
 	g.metrics.requestStarted()
 	defer g.metrics.requestEnded()
 	x.run()
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -19,8 +19,10 @@
 // silent. The current attempt goes on until the standby has an answer, because another
 // server may refuse the request or be silent too.
 type standby struct {
-	choice *backends.Choice
-	cancel context.CancelFunc
+	choice  *backends.Choice
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	attempt *attempt
 	// done is closed when the fields below have been set.
 	done chan struct{}
 	// response has its first data, or its end, if err is nil.
@@ -34,6 +36,10 @@
 // allows it. silent is the server of the current attempt.
 func (x *exchange) startStandby(silent *backends.Choice) {
 	x.markTried(silent)
+	if x.isProbe || x.g.quarantine.HoldsAny(x.traits, time.Now()) {
+		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
+		return
+	}
 	choice, err := x.selectServer()
 	if err != nil {
 		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
@@ -46,20 +52,20 @@
 	}
 	x.selectionCount++
 	x.sendCount++
-	ctx, cancel := context.WithCancel(x.ctx)
-	s := &standby{choice: choice, cancel: cancel, done: make(chan struct{})}
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	s := &standby{choice: choice, ctx: ctx, cancel: cancel, attempt: x.trackAttempt(cancel), done: make(chan struct{})}
 	request := x.newUpstreamRequest(choice)
 	request.BeforeSend = func() error { return x.checkSend(choice) }
 	request.KeepWaiting = nil
 	x.standby = s
-	go s.run(ctx, x.g.pool, request, x.route.Repeat == ingress.Stream)
+	go s.run(x.g.pool, request, x.route.Repeat == ingress.Stream)
 }
 
 // run sends the request. For a stream it waits until data of the body, or its end, has
 // arrived.
-func (s *standby) run(ctx context.Context, pool *upstream.Pool, request *upstream.Request, stream bool) {
+func (s *standby) run(pool *upstream.Pool, request *upstream.Request, stream bool) {
 	defer close(s.done)
-	s.response, s.err = pool.Send(ctx, request)
+	s.response, s.err = pool.Send(s.ctx, request)
 	if s.err != nil {
 		s.unsent = !maybeSent(s.err)
 		return
@@ -101,8 +107,7 @@
 func (x *exchange) dropStandby() {
 	s := x.standby
 	x.standby = nil
-	defer s.choice.Release()
-	defer s.cancel()
+	defer x.release(s)
 	cause, givenUp := x.failureCause, x.serverGivenUp
 	x.standbyMayHaveRun = x.standbyMayHaveRun || x.recordStandbyFailure(s)
 	x.g.logFailedAttempt(x, s.choice, "standby_failed", x.failureCause)
@@ -159,8 +164,8 @@
 // adopt makes the standby the current attempt and relays its response.
 // mayHaveRunBefore says whether the request may have run at another server.
 func (x *exchange) adopt(s *standby, mayHaveRunBefore bool) attemptOutcome {
-	defer s.choice.Release()
-	defer s.cancel()
+	defer x.release(s)
+	x.attemptCtx, x.attempt = s.ctx, s.attempt
 	if s.err != nil {
 		return x.recordStandbyError(s)
 	}
@@ -176,12 +181,19 @@
 		return
 	}
 	x.standby = nil
-	s.cancel()
+	s.cancel(nil)
 	go func() {
 		<-s.done
 		if s.err == nil {
 			s.response.Close()
 		}
-		s.choice.Release()
+		x.release(s)
 	}()
 }
+
+// release frees what a standby that has ended holds.
+func (x *exchange) release(s *standby) {
+	x.g.attempts.remove(s.attempt)
+	s.cancel(nil)
+	s.choice.Release()
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -78,13 +78,14 @@
 	// incarnation differs between successive processes of the same name.
 	incarnation := uint64(time.Now().UnixNano())
 	directory := backends.NewDirectory(settings.Zone, seedFromName(settings.Name)^incarnation)
+	suspicions := &suspicionExchange{}
 	meshNode, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
 			ID: settings.Name, Address: settings.Mesh, Role: mesh.Gateway, Zone: settings.Zone, Incarnation: incarnation,
 		},
 		Seeds:        settings.MeshSeeds(),
-		Handler:      packetHandler(directory, logger),
-		OnPeerChange: logPeerChange(logger),
+		Handler:      packetHandler(directory, suspicions, logger),
+		OnPeerChange: peerChangeHandler(suspicions, logger),
 		OnError:      logMeshError(logger),
 	})
 	if err != nil {
@@ -106,9 +107,13 @@
 		Directory:        directory,
 		GatewayCount:     func() int { return meshNode.Count(mesh.Gateway) },
 		OnLeaving:        tellGateways(meshNode),
+		OnSuspicions:     suspicions.tellAll,
+		Seed:             seedFromName(settings.Name) ^ incarnation,
 		Log:              logger.Logger,
 	})
+	suspicions.mesh, suspicions.gateway = meshNode, gw
 	go meshNode.Run(backgroundCtx)
+	go suspicions.run(backgroundCtx)
 	go func() {
 		if err := follower.ServePeers(backgroundCtx, peerListener); err != nil && backgroundCtx.Err() == nil {
 			logger.Error().Str("event", "peers_unserved").Str("cause", err.Error()).Msg("")
@@ -182,11 +187,12 @@
 }
 
 // packetHandler returns a handler that reports to the directory the status of model
-// servers, and which servers leave.
-func packetHandler(directory *backends.Directory, logger *logging.Bounded) mesh.Handler {
+// servers, and which servers leave, and passes on what other gateways know of crashes.
+func packetHandler(directory *backends.Directory, suspicions *suspicionExchange, logger *logging.Bounded) mesh.Handler {
 	handleStatus := statusHandler(directory, logger)
 	return func(from mesh.Peer, packet *meshpb.Packet) {
 		handleStatus(from, packet)
+		suspicions.handle(from, packet)
 		leaving := packet.GetLeaving()
 		if leaving != nil && directory.MarkLeavingIncarnation(leaving.Id, leaving.Started, time.Now()) {
 			logger.Info().Str("event", "server").Str("server", leaving.Id).Str("change", "leaves, says "+from.ID).Msg("")
@@ -220,8 +226,9 @@
 	}
 }
 
-func logPeerChange(logger *logging.Bounded) func(mesh.Peer, bool) {
+func peerChangeHandler(suspicions *suspicionExchange, logger *logging.Bounded) func(mesh.Peer, bool) {
 	return func(p mesh.Peer, alive bool) {
+		suspicions.handlePeerChange(p, alive)
 		logger.Info().Str("event", "peer").Str("peer", p.ID).Bool("alive", alive).Msg("")
 	}
 }
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -49,8 +49,8 @@
 	return &PeerSet{self: self, byID: make(map[string]Peer), lifetime: lifetime}
 }
 
-// Update adds or updates a peer, and reports whether it was unknown before. It
-// ignores self, information that is older than what is known, older incarnations
+// Update adds or updates a peer, and reports whether it was unknown before or has started
+// again. It ignores self, information that is older than what is known, older incarnations
 // and peers whose lifetime has passed.
 func (s *PeerSet) Update(peer Peer, now time.Time) bool {
 	if peer.ID == "" || peer.ID == s.self.ID || now.Sub(peer.LastSeen) > s.lifetime {
@@ -61,7 +61,7 @@
 		return false
 	}
 	s.byID[peer.ID] = peer
-	return !found
+	return !found || peer.Incarnation > old.Incarnation
 }
 
 // Expire removes the peers whose lifetime has passed, and returns them.
