A stream that ends with its connection is whole

Each such stream was sent again to a second server after its last event, although it was whole; that stream ended alike, and callers saw the answer broken off.

Ruled out: the splitting into events (TestEventsAreCutAtBlankLines reads the same bytes to their end), and chunked streams, whose end arrives as bytes.

Now the end is left to the read that follows. So that this does not let through what broke off, a body that ends with its connection and is an event stream (by its Content-Type) must end between two events and have one; else its end is an unexpected one. That holds on plain routes too, where a stream that ended inside an event was passed on as whole (TestUnframedEventStreamOnAPlainRouteEndsBetweenEvents failed before, below and above the size that is buffered).

A plain answer that a server ends in order in the middle of its body cannot be told from a whole one.

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -121,11 +121,15 @@
 		return nil, &Error{MaybeSent: true, Op: "read", Err: err}
 	}
 	c.applyKeepAlive(resp.Header)
+	body := resp.Body
+	if isUnframed(resp) {
+		body = newUnframedBody(resp)
+	}
 	return &Response{
 		Status:      resp.StatusCode,
 		Header:      resp.Header,
 		Length:      resp.ContentLength,
-		body:        resp.Body,
+		body:        body,
 		conn:        c,
 		pool:        p,
 		bodyWritten: bodyWritten,
@@ -191,8 +195,9 @@
 	}
 }
 
-// awaitData returns once the server has sent data, and sets the deadline for reading
-// it. Without keepWaiting it does nothing, and the reads that follow block.
+// awaitData returns once the server has sent data or ended the connection, and sets the
+// deadline for the reads that follow. Without keepWaiting it does nothing, and those
+// reads block.
 func (c *conn) awaitData(keepWaiting func(time.Duration) bool) error {
 	if keepWaiting == nil {
 		return nil
@@ -203,7 +208,7 @@
 			return err
 		}
 		_, err := c.reader.Peek(1)
-		if err == nil {
+		if err == nil || err == io.EOF { // The read that follows tells what this end means.
 			break
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -225,7 +230,9 @@
 	return r.conn.awaitData(keepWaiting)
 }
 
-// Read implements io.Reader on the body. io.EOF means that the body is complete.
+// Read implements io.Reader on the body. io.EOF means that the body is complete, as far
+// as that can be told: one with neither a length nor chunks is taken as complete if the
+// server ended its connection in order and, if it is an event stream, between two events.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err == io.EOF {
