A reset that the request's body meets first is no end of the answer

A server may answer before it has read a long body, with an answer that ends with its connection, and be reset. The caller could get the first part of that answer as a whole success.

Cause: the kernel reports a reset once. Bodies over 16 KiB are written beside the reading; if the write meets the reset, the read sees an ordinary end. Ruled out: small bodies, which are written before the answer is read, and answers with a length or chunks, whose early end shows.

Now the end of such an answer counts only if the write of the body is done or still waiting: it is stopped, and its result says whether it met a reset. A server that ends its answer in order and leaves the rest of the body unread has still answered (TestUnframedAnswerThatEndsBeforeTheRequestIsWhole).

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -123,7 +123,7 @@
 	c.applyKeepAlive(resp.Header)
 	body := resp.Body
 	if isUnframed(resp) {
-		body = newUnframedBody(resp)
+		body = newUnframedBody(resp, c, bodyWritten)
 	}
 	return &Response{
 		Status:      resp.StatusCode,
--- a/upstream/unframed.go
+++ b/upstream/unframed.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"time"
 )
 
 // unframedBody reads the body of a response with neither a length nor chunks, which
@@ -12,6 +15,9 @@
 // io.ErrUnexpectedEOF if it is known to have broken off.
 type unframedBody struct {
 	io.ReadCloser
+	conn *conn
+	// bodyWritten is as in Response.
+	bodyWritten chan error
 	eventStream bool
 	// tail holds the last bytes read, maxBlankLineBytes at most.
 	tail []byte
@@ -28,10 +34,10 @@
 	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-func newUnframedBody(resp *http.Response) *unframedBody {
+func newUnframedBody(resp *http.Response, c *conn, bodyWritten chan error) *unframedBody {
 	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
 	return &unframedBody{
-		ReadCloser:  resp.Body,
+		ReadCloser: resp.Body, conn: c, bodyWritten: bodyWritten,
 		eventStream: strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream"),
 	}
 }
@@ -50,7 +56,7 @@
 		return n, err
 	}
 	u.end = io.EOF
-	if u.eventStream && !u.endsBetweenEvents() {
+	if u.wasReset() || u.eventStream && !u.endsBetweenEvents() {
 		u.end = io.ErrUnexpectedEOF
 	}
 	return n, u.end
@@ -60,3 +66,15 @@
 func (u *unframedBody) endsBetweenEvents() bool {
 	return bytes.HasSuffix(u.tail, []byte("\n\n")) || bytes.HasSuffix(u.tail, []byte("\n\r\n"))
 }
+
+// wasReset reports whether a concurrent write of the request body met a reset of the
+// connection. The kernel reports a reset only once, so the read then sees an ordinary
+// end. A write that is still waiting has met none and is stopped.
+func (u *unframedBody) wasReset() bool {
+	if u.bodyWritten == nil {
+		return false
+	}
+	_ = u.conn.SetWriteDeadline(time.Unix(1, 0)) // Fails only if the connection is closed, which ends the write too.
+	err := <-u.bodyWritten
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/upstream/unframed_test.go
+++ b/upstream/unframed_test.go
@@ -87,6 +87,18 @@
 	}
 }
 
+// The write of a large request may meet the reset first. The kernel reports it once,
+// and the read that follows sees an ordinary end.
+func TestResetThatMeetsTheRequestBodyIsNoEnd(t *testing.T) {
+	address := startUnframed(t, unframedHead+"half", true, true)
+	for range 60 {
+		r := newRequest(address, "1")
+		r.Body = make([]byte, 8<<20)
+		body, err := sendAndRead(t, upstream.NewPool(), r)
+		assert.Assert(t, err != nil, "a reset answer was taken as whole: %q", body)
+	}
+}
+
 // A server may end its answer and leave the rest of the request unread.
 func TestUnframedAnswerThatEndsBeforeTheRequestIsWhole(t *testing.T) {
 	r := newRequest(startUnframed(t, unframedHead+"early", false, true), "1")
