A large answer is not resumed like a stream

A caller that sent a last event ID with an idempotent request got two answers joined in one: the part of a first answer over 1 MiB that was reset, and then the second server's answer from its start, ended as complete (2,107,152 bytes for 1,053,576 in the test).

Cause: whether an answer that has begun may go on elsewhere was judged by the last event ID alone, which a caller may send with any request. Ruled out: requests without that header, which are broken off (TestLargeUnframedAnswerThatIsResetLooksBroken).

Now an answer goes on elsewhere only if events of it have been sent. TestLargeAnswerIsNotResumedLikeAStream failed before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -191,8 +191,8 @@
 		return "the route allows no further server"
 	case result == outcomeFailed && x.mayHaveRun && !x.route.Repeatable():
 		return "the request may have run"
-	case x.headerSent && !x.hasLastEventID:
-		return "the stream cannot be resumed"
+	case x.headerSent && (x.eventCount == 0 || !x.hasLastEventID):
+		return "the answer cannot be resumed"
 	}
 	return ""
 }
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -196,6 +196,19 @@
 	}
 }
 
+// A caller may send the header that resumes streams with any request.
+func TestLargeAnswerIsNotResumedLikeAStream(t *testing.T) {
+	h := newHarness(t)
+	body := strings.Repeat("x", 1<<20+5000)
+	h.addServer("a", func(c net.Conn, r *http.Request) { writeUnframed(c, r, 200, body, true) })
+	b := h.addServer("b", func(c net.Conn, r *http.Request) { writeUnframed(c, r, 200, body, true) })
+	h.start()
+	got := h.send("/again/x", "Last", "3")
+	assert.Assert(t, got.err != nil, "an answer of %d bytes was ended as complete", len(got.body))
+	assert.Assert(t, len(got.body) <= len(body), "two answers were joined: %d bytes of %d", len(got.body), len(body))
+	assert.Assert(t, b.requestCount.Load() <= 1)
+}
+
 func TestUnframedRefusalIsNotRun(t *testing.T) {
 	for name, reset := range map[string]bool{"whole": false, "reset": true} {
 		t.Run(name, func(t *testing.T) {
