Silence in the middle of an answer is judged like silence before it

Callers got 502 for an answer that could not be retried and paused, or took, over 1.5 s from its first byte on, although its server went on and the time was not over.

Cause: the reads after the first byte had one deadline 1.5 s later, whatever had arrived meanwhile and whether or not anything else could be tried. Ruled out: the way answers are framed, since the test fails alike with a length.

Now a read that meets that deadline asks the policy that also judges silence before the answer: what may go to another server does so, everything else waits until its time is over. An answer that arrives steadily is not cut. Failing before: TestSilenceInAnAnswerThatCannotBeRetriedIsWaitedOut, TestSilenceInABodyIsWaitedOutWhileAllowed.

--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -226,6 +226,27 @@
 	assert.Equal(t, h.send("/once/x").status, http.StatusServiceUnavailable)
 }
 
+// The pause is longer than the upstream package allows between two reads.
+func TestSilenceInAnAnswerThatCannotBeRetriedIsWaitedOut(t *testing.T) {
+	for name, head := range map[string]string{"unframed": "X-Own: 1", "length": "Content-Length: 4"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.addServer("a", func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, unframedHead(r, 200, head)+"ha")
+				time.Sleep(1700 * time.Millisecond)
+				_, _ = io.WriteString(c, "lf")
+				c.Close()
+			})
+			h.start()
+			got := h.send("/once/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, 200, h.logOutput.String())
+			assert.Equal(t, got.body, "half")
+		})
+	}
+}
+
 func TestHeadersThatContradictTheFramingAreNoAnswer(t *testing.T) {
 	for name, line := range map[string]string{
 		"coding": "Transfer-Encoding: gzip", "identity": "Transfer-Encoding: identity", "two codings": "Transfer-Encoding: gzip, chunked",
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -62,6 +62,8 @@
 	idleSince time.Time
 	// idleLimit is how long the connection may stay idle.
 	idleLimit time.Duration
+	// keepReading decides at a read deadline whether to go on reading; nil stops.
+	keepReading func(silence time.Duration) bool
 }
 
 // NewPool returns an empty pool.
@@ -160,13 +162,14 @@
 		p.decrementOpen(address)
 		return nil, err
 	}
-	return &conn{
+	c := &conn{
 		Conn:      raw,
 		address:   address,
-		reader:    bufio.NewReaderSize(raw, readBufferBytes),
 		writer:    bufio.NewWriterSize(raw, writeBufferBytes),
 		idleLimit: idleTimeout,
-	}, nil
+	}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // release returns a connection to the pool. It must carry no unfinished request or
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -19,8 +19,8 @@
 // silence.
 const waitPollInterval = 100 * time.Millisecond
 
-// partialReadTimeout bounds the reads that follow awaitData, from the moment at which
-// it has seen data until it is called again.
+// partialReadTimeout is the interval at which Request.KeepWaiting is called while the
+// server sends nothing in the middle of a header, a body or an event.
 const partialReadTimeout = 1500 * time.Millisecond
 
 // ErrSilent says that the server sent nothing until KeepWaiting returned false.
@@ -48,9 +48,9 @@
 	// Matches reports whether a response belongs to this request; nil accepts every
 	// response.
 	Matches func(http.Header) bool
-	// KeepWaiting is called every waitPollInterval while the server sends
-	// nothing. The request is aborted when it returns false; nil waits without
-	// limit.
+	// KeepWaiting is called every waitPollInterval while the server has sent nothing
+	// yet, and every partialReadTimeout in the middle of the response. The request is
+	// aborted when it returns false; nil waits without limit.
 	KeepWaiting func(silence time.Duration) bool
 	// BeforeSend is called once the connection is open and before anything is
 	// sent. If it returns an error, nothing is sent.
@@ -195,13 +195,14 @@
 	}
 }
 
-// awaitData returns once the server has sent data or ended the connection, and sets the
-// deadline for the reads that follow. Without keepWaiting it does nothing, and those
-// reads block.
+// awaitData returns once the server has sent data or ended the connection. The reads
+// that follow ask keepWaiting after each partialReadTimeout without data. Without
+// keepWaiting it does nothing, and the reads that follow block.
 func (c *conn) awaitData(keepWaiting func(time.Duration) bool) error {
 	if keepWaiting == nil {
 		return nil
 	}
+	c.keepReading = nil
 	began := time.Now()
 	for c.reader.Buffered() == 0 {
 		if err := c.SetReadDeadline(time.Now().Add(waitPollInterval)); err != nil {
@@ -218,9 +219,25 @@
 			return ErrSilent
 		}
 	}
+	c.keepReading = keepWaiting
 	return c.SetReadDeadline(time.Now().Add(partialReadTimeout))
 }
 
+// Read implements net.Conn. It goes on past the read deadline while keepReading allows
+// it.
+func (c *conn) Read(b []byte) (int, error) {
+	began := time.Now()
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || c.keepReading == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.keepReading(time.Since(began)) {
+			return n, err
+		}
+		if err := c.SetReadDeadline(time.Now().Add(partialReadTimeout)); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // WaitForData returns once more of the body, or its end, has arrived. The error is
 // ErrSilent if keepWaiting returns false.
 func (r *Response) WaitForData(keepWaiting func(silence time.Duration) bool) error {
@@ -257,6 +274,7 @@
 		r.pool.discard(r.conn)
 		return
 	}
+	r.conn.keepReading = nil
 	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
 		r.pool.discard(r.conn)
 		return
--- a/upstream/unframed_test.go
+++ b/upstream/unframed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +108,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "early")
 }
+
+// The server sends nothing in the middle of its body for longer than partialReadTimeout.
+func TestSilenceInABodyIsWaitedOutWhileAllowed(t *testing.T) {
+	for name, patient := range map[string]bool{"patient": true, "impatient": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nha")
+				time.Sleep(1700 * time.Millisecond)
+				_, _ = io.WriteString(c, "lf\r\n0\r\n\r\n")
+			})
+			r := newRequest(address, "1")
+			r.KeepWaiting = func(silence time.Duration) bool { return patient || silence < time.Second }
+			body, err := sendAndRead(t, upstream.NewPool(), r)
+			if !patient {
+				assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, body, "half")
+		})
+	}
+}
