Answers that are given up are not read to their end

Cause: a refusal was read to its end although its header says everything, and closing an unfinished answer with a length or chunks reads the rest of it before the connection is reset. Ruled out: the choice of the next server, which follows at once when the answer ends.

Now a refusal is read further only if its connection can be used again after it, and an unfinished answer is reset first and closed then.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -320,7 +319,7 @@
 func (x *exchange) handleServerRefusal(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
 	now := time.Now()
 	x.failureCause = "the server refused with " + strconv.Itoa(response.Status)
-	if _, err := io.Copy(io.Discard, response); err != nil && x.ctx.Err() != nil {
+	if err := response.Drain(); err != nil && x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
 	switch {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -226,6 +226,36 @@
 	assert.Equal(t, h.send("/once/x").status, http.StatusServiceUnavailable)
 }
 
+// The header of a refusal says everything. Its server does not close the connection.
+func TestUnframedRefusalIsNotWaitedFor(t *testing.T) {
+	h := newHarness(t)
+	addFailoverServers(h,
+		func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, unframedHead(r, 503, "Not-Run: 1")+"full")
+			time.Sleep(3 * time.Second)
+		},
+		func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
+	h.start()
+	start := time.Now()
+	assert.Equal(t, h.send("/again/x").body, "ok")
+	assert.Assert(t, time.Since(start) < 900*time.Millisecond, "retried after %v", time.Since(start))
+}
+
+// A server fails and says nothing more in the middle of its answer.
+func TestFailureThatStopsHalfwayIsNotWaitedFor(t *testing.T) {
+	h := newHarness(t)
+	addFailoverServers(h,
+		func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, unframedHead(r, 500, "Content-Length: 9")+"half")
+			time.Sleep(3 * time.Second)
+		},
+		func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
+	h.start()
+	start := time.Now()
+	assert.Equal(t, h.send("/again/x").body, "ok")
+	assert.Assert(t, time.Since(start) < 900*time.Millisecond, "retried after %v", time.Since(start))
+}
+
 // The pause is longer than the upstream package allows between two reads.
 func TestSilenceInAnAnswerThatCannotBeRetriedIsWaitedOut(t *testing.T) {
 	for name, head := range map[string]string{"unframed": "X-Own: 1", "length": "Content-Length: 4"} {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -258,6 +258,15 @@
 	return n, err
 }
 
+// Drain reads the rest of the body if the connection can be reused after it.
+func (r *Response) Drain() error {
+	if !r.reusable {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, r)
+	return err
+}
+
 // Close closes the response. The connection is reused only if the body was read to
 // its end.
 func (r *Response) Close() {
@@ -265,11 +274,11 @@
 		return
 	}
 	r.closed = true
-	r.body.Close()
 	notAborted := r.stopAbort()
 	if !r.complete {
-		r.conn.abort()
+		r.conn.abort() // First, because closing the body reads the rest of it.
 	}
+	r.body.Close()
 	if !r.complete || !r.reusable || !notAborted || !r.requestSent() || r.conn.reader.Buffered() > 0 {
 		r.pool.discard(r.conn)
 		return
