Answers to HEAD keep the length that the server states

Callers of HEAD were told a length of 0, whatever the server had stated, and also where it had stated none. Cause: the length was that of the bytes read, and an answer to HEAD has none. Ruled out: 204 and 304, which state no length to callers. Failing before: TestHeadKeepsTheLengthThatTheServerStates, TestAnswersWithoutABodyNeedNoLength.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,7 +26,11 @@
 		return x.handleBodyError(choice, err)
 	}
 	x.recordResponse(choice, response, metadata)
-	x.writeHeader(response, len(body))
+	length := len(body)
+	if x.r.Method == http.MethodHead {
+		length = int(response.Length)
+	}
+	x.writeHeader(response, length)
 	if _, err := x.w.Write(body); err != nil {
 		return outcomeCanceled
 	}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -147,6 +147,38 @@
 	assert.Equal(t, got.body, "half")
 }
 
+func TestAnswersWithoutABodyNeedNoLength(t *testing.T) {
+	for _, status := range []int{200, 204, 304} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.addServer("a", func(c net.Conn, r *http.Request) { writeUnframed(c, r, status, "", false) })
+			h.start()
+			for _, route := range []string{"/once/x", "/stream/x"} {
+				caller := h.dialCaller()
+				for _, id := range []string{"1", "2"} {
+					resp, got, err := caller.send(http.MethodHead, route, id)
+					assert.NilError(t, err)
+					assert.Equal(t, resp.StatusCode, status)
+					assert.Equal(t, resp.Header.Get("Content-Length"), "", "the server stated no length")
+					assert.Equal(t, got, "")
+				}
+			}
+		})
+	}
+}
+
+func TestHeadKeepsTheLengthThatTheServerStates(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, unframedHead(r, 200, "Content-Length: 5"))
+	})
+	h.start()
+	resp, _, err := h.dialCaller().send(http.MethodHead, "/once/x", "1")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get("Content-Length"), "5")
+}
+
 func TestUnframedAnswerThatIsResetIsNoAnswer(t *testing.T) {
 	for _, status := range []int{200, 404} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
