An answer older than HTTP/1.1 that names a coding is no answer

The caller got the chunk sizes of such an answer as part of its body. Cause: net/http ignores Transfer-Encoding before HTTP/1.1 and removes it, so the body was taken as one that ends with its connection. Its framing is unknown, and RFC 9112 (6.1) asks to treat it as faulty. Now it is looked for before the header is parsed. Ruled out: codings other than chunked, two of them, and lengths that are no number, which were refused already (TestHeadersThatContradictTheFramingAreNoAnswer). Failing before: TestOldAnswerWithChunksIsNoAnswer.

--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -328,6 +328,20 @@
 	}
 }
 
+// Before HTTP/1.1 there were no chunks, so the framing of such an answer is unknown.
+func TestOldAnswerWithChunksIsNoAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", func(c net.Conn, r *http.Request) {
+		head := strings.Replace(unframedHead(r, 200, "Transfer-Encoding: chunked"), "HTTP/1.1", "HTTP/1.0", 1)
+		_, _ = io.WriteString(c, head+"2\r\nok\r\n0\r\n\r\n")
+		c.Close()
+	})
+	h.start()
+	got := h.send("/once/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway, "body %q", got.body)
+}
+
 // The server starts a second response where the first has no body or a stated end.
 func TestBytesAfterAnAnswerReachNoCaller(t *testing.T) {
 	second := func(r *http.Request) string { return unframedHead(r, 200, "Content-Length: 5") + "wrong" }
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -176,6 +176,9 @@
 		if err := c.awaitData(r.KeepWaiting); err != nil {
 			return nil, err
 		}
+		if c.oldWithCoding() {
+			return nil, errors.New("an answer older than HTTP/1.1 names a transfer coding")
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
