--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -239,8 +238,8 @@
 		return "the route allows no further server"
 	case result == outcomeFailed && x.mayHaveRun && !x.route.Repeatable():
 		return "the request may have run"
-	case x.headerSent && !x.hasLastEventID:
-		return "the stream cannot be resumed"
+	case x.headerSent && (x.eventCount == 0 || !x.hasLastEventID):
+		return "the answer cannot be resumed"
 	}
 	return ""
 }
@@ -431,7 +430,7 @@
 // handleServerRefusal records and classifies a response which states that the
 // server did not run the request.
 func (x *exchange) handleServerRefusal(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
-	if _, err := io.Copy(io.Discard, response); err != nil && x.ctx.Err() != nil {
+	if err := response.Drain(); err != nil && x.ctx.Err() != nil {
 		return outcomeCanceled
 	}
 	x.recordServerRefusal(choice, response.Status, metadata)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -119,11 +119,15 @@
 		return nil, &Error{MaybeSent: true, Op: "read", Err: err}
 	}
 	c.applyKeepAlive(resp.Header)
+	body := resp.Body
+	if isUnframed(resp) {
+		body = newUnframedBody(resp, c, bodyWritten)
+	}
 	return &Response{
 		Status:      resp.StatusCode,
 		Header:      resp.Header,
 		Length:      resp.ContentLength,
-		body:        resp.Body,
+		body:        body,
 		conn:        c,
 		pool:        p,
 		bodyWritten: bodyWritten,
@@ -167,6 +171,9 @@
 // request, which a faulty server may send late.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	for skipped := 0; ; {
+		if c.oldWithCoding() {
+			return nil, errors.New("an answer older than HTTP/1.1 names a transfer coding")
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -224,7 +231,9 @@
 	r.conn.keepWaiting = keepWaiting
 }
 
-// Read implements io.Reader on the body. io.EOF means that the body is complete.
+// Read implements io.Reader on the body. io.EOF means that the body is complete, as far
+// as that can be told: one with neither a length nor chunks is taken as complete if the
+// server ended its connection in order and, if it is an event stream, between two events.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err == io.EOF {
@@ -233,6 +242,15 @@
 	return n, err
 }
 
+// Drain reads the rest of the body if the connection can be reused after it.
+func (r *Response) Drain() error {
+	if !r.reusable {
+		return nil
+	}
+	_, err := io.Copy(io.Discard, r)
+	return err
+}
+
 // Close closes the response. The connection is reused only if the body was read to
 // its end.
 func (r *Response) Close() {
@@ -240,11 +258,11 @@
 		return
 	}
 	r.closed = true
-	r.body.Close()
 	notAborted := r.stopAbort()
 	if !r.complete {
-		r.conn.abort()
+		r.conn.abort() // First, because closing the body reads the rest of it.
 	}
+	r.body.Close()
 	if !r.complete || !r.reusable || !notAborted || !r.requestSent() || r.conn.reader.Buffered() > 0 {
 		r.pool.discard(r.conn)
 		return
