Take a rank without a status for as busy as its group

Streams that went over to another group were refused there: all of them had been sent to the one rank whose agent was being restarted. A rank without a status counted as idle, with the shortest passes, since its load was not known.

It is now taken for the mean of the ranks of its group that have one. TestRankWithoutAStatusIsNotTakenForIdle: 18 of 24 requests went to that rank of four before (2 each to the others), at most 8 now. Ruled out: only the mean number of requests (15 of 24; the assumed time of a pass was shorter, too).

--- a/backends/pick.go
+++ b/backends/pick.go
@@ -282,12 +282,14 @@
 	closed := d.closedGroups(now)
 	stalled := d.stalledGroups()
 	medians := d.medianPassTimes()
+	groupStatuses := d.meanStatuses()
 	for id, e := range d.servers {
 		if e.Service != r.ServiceName {
 			continue
 		}
-		c := d.candidate(id, e, closed, now)
-		if status, ok := d.statuses[e.Address]; ok && r.usesEngine() {
+		status, ok := d.statusOrMean(e, groupStatuses)
+		c := d.candidate(id, e, status, ok, closed, now)
+		if ok && r.usesEngine() {
 			slots := usableSlots(r.Service.Engine, d.ensureGroup(e.Group.Name).peakPassTime.passTime, r.MaxPause, r.TimeLimit)
 			c.Load.Slots = slotsOfSlowRank(r.Service.Engine, slots, status.RelativePassTime, medians[e.Group.Name])
 			c.Excluded = c.Excluded || c.Load.Slots == 0
@@ -350,9 +352,9 @@
 	return meanRunning
 }
 
-// candidate returns the routing candidate for a server. The caller holds the lock.
-func (d *Directory) candidate(id string, e *serverState, closed map[string]bool, now time.Time) routing.Candidate {
-	status, reported := d.statuses[e.Address]
+// candidate returns the routing candidate for a server with its status, if there is one.
+// The caller holds the lock.
+func (d *Directory) candidate(id string, e *serverState, status Status, reported bool, closed map[string]bool, now time.Time) routing.Candidate {
 	c := routing.Candidate{
 		Server:   id,
 		Zone:     e.Zone,
