Count the passes of a silent server from the first status within its silence

A stream whose group was held was taken for stuck after half a second: four passes had begun, the gateway thought, since the wait began. Most of them lay before it, as the last status from before the wait was up to 1.7 s old.

Passes now count from the first status that arrives within the silence. TestPassesBeforeTheSilenceAreNotCounted failed before (10 passes) and passes.

--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -95,29 +95,40 @@
 	server    string
 	// observedAt is when the current wait was last observed.
 	observedAt time.Time
-	// initial is the status of the server when the current wait was first observed.
-	initial      backends.Status
-	initialKnown bool
+	// epoch is that of the server's group when the wait was first observed, if
+	// epochKnown is set.
+	epoch      uint64
+	epochKnown bool
+	// firstPass is the last pass in the first status that arrived during the wait, if
+	// passKnown is set. An older status does not tell which passes the wait has seen.
+	firstPass uint64
+	passKnown bool
 }
 
 // observe returns what is known of the server. A silence that began after the last
 // observation is another wait.
 func (w *waitObserver) observe(silence time.Duration) stall {
 	now := time.Now()
+	began := now.Add(-silence)
 	current, known := w.directory.StatusOf(w.server)
-	if now.Add(-silence).After(w.observedAt) {
-		w.initial, w.initialKnown = current, known
+	if began.After(w.observedAt) {
+		w.epoch, w.epochKnown = current.Group.Epoch, known
+		w.passKnown = false
 	}
 	w.observedAt = now
 	s := stall{
 		duration:       silence,
-		statusKnown:    w.initialKnown && known && current.Group.Epoch == w.initial.Group.Epoch,
+		statusKnown:    w.epochKnown && known && current.Group.Epoch == w.epoch,
 		unavailable:    !current.Up || !current.Open,
 		requestsQueued: current.Waiting > 0,
 	}
-	if s.statusKnown {
-		s.passes = current.LastPass - min(current.LastPass, w.initial.LastPass)
+	if !known || current.ReceivedAt.Before(began) {
+		return s
 	}
+	if !w.passKnown {
+		w.firstPass, w.passKnown = current.LastPass, true
+	}
+	s.passes = current.LastPass - min(current.LastPass, w.firstPass)
 	return s
 }
 
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -30,17 +30,56 @@
 	}
 }
 
-func TestPassesAreCountedWithinOneSilence(t *testing.T) {
+// passObserver observes a server through a waitObserver.
+type passObserver struct {
+	directory *backends.Directory
+	observer  waitObserver
+	began     time.Time
+}
+
+func newPassObserver() *passObserver {
 	directory := backends.NewDirectory("z", 1)
 	directory.Put(backends.Server{ID: "a", Address: "10.0.0.1:1"})
-	observer := waitObserver{directory: directory, server: "a"}
-	observe := func(pass uint64, silence time.Duration) uint64 {
-		directory.UpdateStatus("10.0.0.1:1", backends.Status{Up: true, Open: true, LastPass: pass, ReceivedAt: time.Now()})
-		time.Sleep(2 * time.Millisecond)
-		return observer.observe(silence).passes
-	}
-	assert.Equal(t, observe(10, time.Millisecond), uint64(0))
-	assert.Equal(t, observe(13, time.Second), uint64(3), "the same silence")
-	assert.Equal(t, observe(14, time.Millisecond), uint64(0), "another silence of the same length")
-	assert.Equal(t, observe(15, time.Millisecond), uint64(0))
+	return &passObserver{directory: directory, observer: waitObserver{directory: directory, server: "a"}, began: time.Now()}
+}
+
+// report stores a status with the given last pass that arrives now.
+func (o *passObserver) report(pass uint64) {
+	time.Sleep(2 * time.Millisecond)
+	o.directory.UpdateStatus("10.0.0.1:1", backends.Status{Up: true, Open: true, LastPass: pass, ReceivedAt: time.Now()})
+}
+
+// speak ends the silence.
+func (o *passObserver) speak() {
+	time.Sleep(2 * time.Millisecond)
+	o.began = time.Now()
+}
+
+func (o *passObserver) passes() uint64 {
+	time.Sleep(2 * time.Millisecond)
+	return o.observer.observe(time.Since(o.began)).passes
+}
+
+func TestPassesAreCountedWithinOneSilence(t *testing.T) {
+	o := newPassObserver()
+	o.report(10)
+	assert.Equal(t, o.passes(), uint64(0))
+	o.report(13)
+	assert.Equal(t, o.passes(), uint64(3), "the same silence")
+	o.speak()
+	o.report(14)
+	assert.Equal(t, o.passes(), uint64(0), "another silence")
+}
+
+// A stream of a group that was held was given up for passes before its silence, which the
+// last status from before had not told of.
+func TestPassesBeforeTheSilenceAreNotCounted(t *testing.T) {
+	o := newPassObserver()
+	o.report(10)
+	o.speak()
+	assert.Equal(t, o.passes(), uint64(0))
+	o.report(20)
+	assert.Equal(t, o.passes(), uint64(0))
+	o.report(21)
+	assert.Equal(t, o.passes(), uint64(1))
 }
