Take no requests that a stopping gateway would cut

The reads of such connections are now ended again, each 20 ms, until their state changes. And once no connections are accepted, a new request that may outlast the drain is refused at once with 503, not run, and a time to come back to another gateway; shorter ones are served.

TestConnectionThatBecomesIdleDuringTheDrainIsClosed (kept for 0.5 s) and TestRequestThatMayOutlastTheDrainIsRefusedAtOnce (200) failed before and pass.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -14,6 +14,10 @@
 	// newConnGrace is how long a connection without a request stays open once the
 	// gateway accepts no more connections.
 	newConnGrace = 400 * time.Millisecond
+	// endReadsInterval is the interval at which the reads of a connection are ended
+	// again until its state changes: http.Server takes the deadline back when it begins
+	// to wait for a request, which may be after its report of the state.
+	endReadsInterval = 20 * time.Millisecond
 	// emptyPollInterval is the interval at which awaitEmpty looks for open connections.
 	emptyPollInterval = 10 * time.Millisecond
 )
@@ -37,8 +41,8 @@
 // callerConn is the state of one connection.
 type callerConn struct {
 	state http.ConnState
-	// timer ends the connection while it waits for a request; nil if it does not wait,
-	// or has no limit.
+	// timer ends the reads of the connection while it waits for a request; nil if it does
+	// not wait, or has no limit.
 	timer *time.Timer
 }
 
@@ -64,7 +68,7 @@
 		_ = c.SetReadDeadline(time.Time{}) // Undoes an end of the reads; a closed connection has none.
 	case http.StateIdle:
 		if k.stopping {
-			endReads(c)
+			k.endReads(c, conn)
 		} else if limit := k.limit(); limit > 0 {
 			k.endReadsAfter(c, conn, limit+idleGrace)
 		}
@@ -83,7 +87,7 @@
 	for c, conn := range k.open {
 		switch conn.state {
 		case http.StateIdle:
-			endReads(c)
+			k.endReads(c, conn)
 		case http.StateNew:
 			k.endReadsAfter(c, conn, newConnGrace)
 		}
@@ -93,18 +97,23 @@
 // endReadsAfter ends the reads of a connection after the given time unless its state has
 // changed until then. The caller holds the lock.
 func (k *callerConns) endReadsAfter(c net.Conn, conn *callerConn, after time.Duration) {
+	if conn.timer != nil {
+		conn.timer.Stop()
+	}
 	conn.timer = time.AfterFunc(after, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		if k.open[c] == conn {
-			endReads(c)
+			k.endReads(c, conn)
 		}
 	})
 }
 
-// endReads makes the reads of a connection fail from now on.
-func endReads(c net.Conn) {
+// endReads makes the reads of a connection fail until its state changes. The caller holds
+// the lock.
+func (k *callerConns) endReads(c net.Conn, conn *callerConn) {
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // It fails only for a closed connection.
+	k.endReadsAfter(c, conn, endReadsInterval)
 }
 
 // awaitEmpty waits until no connection is open. It returns false after the timeout.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -172,3 +172,42 @@
 	assert.NilError(t, err, "the connection was closed without an answer")
 	assert.Equal(t, status, 200)
 }
+
+// A connection whose stream ended during the drain was kept, and the next request on it was
+// cut at the end of the drain.
+func TestConnectionThatBecomesIdleDuringTheDrainIsClosed(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", func(c net.Conn, r *http.Request) {
+		writeEvents(c, r, 1, 1, false)
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	h.start()
+	server, l := listen(h)
+	c := dialCaller(t, l)
+	c.send("/stream/x")
+	time.Sleep(100 * time.Millisecond)
+	startDrain(h, server, l, 2*time.Second)
+	_, err := c.status()
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(500*time.Millisecond)))
+	_, err = c.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// A request that arrived late in the drain and might last longer than it was cut.
+func TestRequestThatMayOutlastTheDrainIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	a := h.addServer("a", answering)
+	h.start()
+	server, l := listen(h)
+	c := dialCaller(t, l)
+	time.Sleep(20 * time.Millisecond)
+	startDrain(h, server, l, time.Second) // Routes give a request two seconds.
+	time.Sleep(50 * time.Millisecond)
+	c.send("/once/x")
+	status, err := c.status()
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.requestCount.Load(), int64(0))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,8 @@
 	limits      atomic.Pointer[Limits]
 	callerConns *callerConns
 	draining    atomic.Bool
+	// drainEnd is when requests are ended; nil until no more connections are accepted.
+	drainEnd atomic.Pointer[time.Time]
 	// ending is canceled when the requests that are still open must be answered at
 	// once, by endRequests.
 	ending      context.Context
@@ -239,7 +241,7 @@
 
 // drain reports not ready, stops accepting connections after DrainDelay, and
 // lets pending responses finish until DrainTimeout. Requests that have no response by
-// then are refused. stopAccepting closes the listener and
+// then are refused, as are, from DrainDelay on, new ones that may last longer. stopAccepting closes the listener and
 // returns once each accepted connection is known to callerConns.
 func (g *Gateway) drain(server *http.Server, stopAccepting func()) {
 	limits := g.limits.Load()
@@ -247,9 +249,11 @@
 	g.draining.Store(true)
 	g.log.Info().Str("event", "drain_started").Msg("")
 	time.Sleep(limits.DrainDelay)
+	end := started.Add(limits.DrainTimeout)
+	g.drainEnd.Store(&end)
 	stopAccepting()
 	g.callerConns.stop()
-	if !g.callerConns.awaitEmpty(time.Until(started.Add(limits.DrainTimeout))) {
+	if !g.callerConns.awaitEmpty(time.Until(end)) {
 		g.log.Warn().Str("event", "drain_cut").Int64("requests", g.metrics.activeRequests.Load()).Msg("")
 		g.endRequests()
 		g.callerConns.awaitEmpty(lastAnswersTime)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -110,6 +110,9 @@
 	x.serviceName = x.route.ChooseService(rand.Float64())
 	x.service = table.Service(x.serviceName)
 	x.deadline = requestDeadline(x.arrived, x.route, x.call.Remaining)
+	if end := g.drainEnd.Load(); end != nil && (x.deadline.IsZero() || x.deadline.After(*end)) {
+		return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the gateway stops").WithRetryAfter(g.staleDelay())
+	}
 	lastID, err := strconv.ParseUint(x.call.LastEventID, 10, 64)
 	if err == nil {
 		x.lastEventID, x.hasLastEventID = lastID, true
