Add a failing test: a begun plain answer is joined with that of another server

A caller of an idempotent route without a stream that names an event (Last-Event-Id) got a success that joins half of one server's answer with that of another (rule MIXED), if the answer is too large to buffer, has no stated length, and its server is silent in it or breaks off: retryDenial takes the caller's event ID for a place to go on from on any route.

go test ./gateway -run TestBegunPlain -count=1: --- FAIL: .../closes (0.12s): an answer of 3148728 bytes, 2099152 of another server --- FAIL: .../silent (0.41s): an answer of 3148728 bytes, 2099152 of another server

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -172,3 +173,37 @@
 		})
 	}
 }
+
+// A large plain answer whose server was silent within it was joined with that of another
+// server, since the caller had named an event although the route has none.
+func TestBegunPlainAnswerIsNotJoinedWithAnother(t *testing.T) {
+	half := strings.Repeat("a", maxBufferedBytes+1000)
+	write := func(c net.Conn, r *http.Request, body string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(body), body)
+	}
+	firsts := map[string]func(net.Conn, *http.Request){
+		"silent": func(c net.Conn, r *http.Request) {
+			write(c, r, half)
+			time.Sleep(time.Second)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(half), half)
+		},
+		"closes": func(c net.Conn, r *http.Request) {
+			write(c, r, half)
+			c.Close()
+		},
+	}
+	for name, first := range firsts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.timeout = silenceTimeout
+			addFailoverServers(h, first, func(c net.Conn, r *http.Request) {
+				write(c, r, strings.Repeat("b", 2*len(half)))
+				_, _ = c.Write([]byte("0\r\n\r\n"))
+			})
+			h.start()
+			got := h.send("/again/x", "Last", "3")
+			assert.Assert(t, got.err != nil || got.body == half+half, "an answer of %d bytes, %d of another server", len(got.body), strings.Count(got.body, "b"))
+		})
+	}
+}
