--- a/gateway/events.go
+++ b/gateway/events.go
@@ -27,16 +27,36 @@
 	r *bufio.Reader
 	// buf holds the bytes of the current event.
 	buf []byte
+	// awaited is set if awaitedEvent and awaitedErr are the result of the next call of
+	// next.
+	awaited      bool
+	awaitedEvent event
+	awaitedErr   error
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(r, 1<<10)}
 }
 
+// awaitEvent returns once next returns without waiting. It returns the error of next,
+// but nil at the end of the stream.
+func (e *eventReader) awaitEvent() error {
+	e.awaitedEvent, e.awaitedErr = e.next()
+	e.awaited = true
+	if errors.Is(e.awaitedErr, io.EOF) {
+		return nil
+	}
+	return e.awaitedErr
+}
+
 // next returns the next complete event. Its bytes are valid until the following
 // call. The error is io.EOF at the end of the stream, and io.ErrUnexpectedEOF if
 // the stream ends within an event.
 func (e *eventReader) next() (event, error) {
+	if e.awaited {
+		e.awaited = false
+		return e.awaitedEvent, e.awaitedErr
+	}
 	var ev event
 	e.buf = e.buf[:0]
 	lineStart := 0
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -256,7 +256,7 @@
 		return x.handleSendError(choice, err)
 	}
 	defer response.Close()
-	return x.relay(choice, response, mayHaveRunBefore)
+	return x.relay(choice, response, nil, mayHaveRunBefore)
 }
 
 // startAttempt sets the context of a new attempt, which may be ended until its first
@@ -288,9 +288,9 @@
 	return x.attemptCtx != nil && errors.Is(context.Cause(x.attemptCtx), errQuarantined)
 }
 
-// relay relays the response of a server. mayHaveRunBefore says whether the request may
-// have run at another server.
-func (x *exchange) relay(choice *backends.Choice, response *upstream.Response, mayHaveRunBefore bool) attemptOutcome {
+// relay relays the response of a server. events reads its stream; nil if nothing has been
+// read of it. mayHaveRunBefore says whether the request may have run at another server.
+func (x *exchange) relay(choice *backends.Choice, response *upstream.Response, events *eventReader, mayHaveRunBefore bool) attemptOutcome {
 	x.attemptEvents = 0
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	x.g.recordWithdrawal(choice, metadata)
@@ -310,7 +310,10 @@
 		return outcomeFailed
 	}
 	if x.route.Repeat == ingress.Stream && response.Status == http.StatusOK {
-		return x.relayStream(choice, response, metadata)
+		if events == nil {
+			events = newEventReader(response)
+		}
+		return x.relayStream(choice, response, events, metadata)
 	}
 	return x.relayBuffered(choice, response, metadata)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,10 +101,9 @@
 // relayStream forwards events as they arrive. The header is sent with the first
 // complete event, so that a stream that breaks off earlier can start again at
 // another server.
-func (x *exchange) relayStream(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
-	reader := newEventReader(response)
+func (x *exchange) relayStream(choice *backends.Choice, response *upstream.Response, events *eventReader, metadata ResponseMetadata) attemptOutcome {
 	for {
-		ev, err := reader.next()
+		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(choice, response, metadata)
 		}
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -25,8 +25,10 @@
 	attempt *attempt
 	// done is closed when the fields below have been set.
 	done chan struct{}
-	// response has its first data, or its end, if err is nil.
+	// response is nil if err is not. events reads a stream, whose first event, or whole
+	// end, has arrived.
 	response *upstream.Response
+	events   *eventReader
 	err      error
 	// unsent is set if err says that nothing was sent.
 	unsent bool
@@ -61,8 +63,8 @@
 	go s.run(x.g.pool, request, x.route.Repeat == ingress.Stream)
 }
 
-// run sends the request. For a stream it waits until data of the body, or its end, has
-// arrived.
+// run sends the request. For a stream it waits until the first event, or the end of a
+// whole stream without events, has arrived.
 func (s *standby) run(pool *upstream.Pool, request *upstream.Request, stream bool) {
 	defer close(s.done)
 	s.response, s.err = pool.Send(s.ctx, request)
@@ -73,7 +75,8 @@
 	if !stream || s.response.Status != http.StatusOK {
 		return
 	}
-	if s.err = s.response.AwaitBody(); s.err != nil {
+	s.events = newEventReader(s.response)
+	if s.err = s.events.awaitEvent(); s.err != nil {
 		s.response.Close()
 	}
 }
@@ -136,11 +139,16 @@
 	return true
 }
 
-// recordStandbyError records a standby that received no response.
+// recordStandbyError records a standby that received no response, or broke off before its
+// first event.
 func (x *exchange) recordStandbyError(s *standby) attemptOutcome {
 	if s.unsent {
 		x.sendCount--
 	}
+	if s.events != nil {
+		x.attemptEvents = 0
+		return x.handleBodyError(s.choice, s.err)
+	}
 	return x.handleSendError(s.choice, s.err)
 }
 
@@ -171,7 +179,7 @@
 	}
 	defer s.response.Close()
 	s.response.SetKeepWaiting(x.waitPolicy(s.choice))
-	return x.relay(s.choice, s.response, mayHaveRunBefore)
+	return x.relay(s.choice, s.response, s.events, mayHaveRunBefore)
 }
 
 // endStandby ends a standby that is not needed, without waiting for its end.
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -214,18 +214,6 @@
 	}
 }
 
-// AwaitBody returns once data of the body, or its end, has arrived.
-func (r *Response) AwaitBody() error {
-	if r.Length == 0 {
-		return nil
-	}
-	_, err := r.conn.reader.Peek(1)
-	if err == io.EOF {
-		return nil // Read tells whether the body is complete.
-	}
-	return err
-}
-
 // SetKeepWaiting replaces Request.KeepWaiting for the rest of the response.
 func (r *Response) SetKeepWaiting(keepWaiting func(silence time.Duration) bool) {
 	r.conn.keepWaiting = keepWaiting
