Add a failing test: a third server is not tried while two are silent

Callers of routes with max_attempts of 3 and more got a 504 at the end of their time if two servers were silent (connections that went silent for good, for instance) though a third was sound: while a standby is there, none is started, however long it is silent.

go test ./gateway -run TestThirdServer -count=1, two runs of two: --- FAIL: TestThirdServerIsTriedWhenTwoAreSilent (6.1s) 504 (got.status int) != 200 (int)

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,3 +208,25 @@
 		})
 	}
 }
+
+// A request that may be sent to three servers waited to its end for two silent ones.
+func TestThirdServerIsTriedWhenTwoAreSilent(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = silenceTimeout
+	h.maxAttempts = 3
+	var count atomic.Int64
+	for _, id := range []string{"a", "b", "c"} {
+		h.addServer(id, func(c net.Conn, r *http.Request) {
+			if count.Add(1) <= 2 {
+				time.Sleep(silenceTimeout)
+				return
+			}
+			writeResponse(c, r, 200, "ok")
+		})
+	}
+	h.start()
+	got := h.send("/again/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, h.logLines("1"))
+	assert.Equal(t, count.Load(), int64(3))
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -110,6 +110,8 @@
 	maxProofAge time.Duration
 	// freeRetries is the retry budget.
 	freeRetries float64
+	// maxAttempts is that of the route for plain requests that may be repeated.
+	maxAttempts int
 	// timeout is the timeout of all routes.
 	timeout time.Duration
 	// idleTimeout is how long callers' connections may be idle; zero means no limit.
@@ -156,7 +158,7 @@
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	return &harness{t: t, source: &fakeSource{}, maxProofAge: longProofAge, freeRetries: 100, timeout: 2 * time.Second}
+	return &harness{t: t, source: &fakeSource{}, maxProofAge: longProofAge, freeRetries: 100, maxAttempts: 2, timeout: 2 * time.Second}
 }
 
 // addServer adds a backend server that handles each request with handle.
@@ -211,7 +213,7 @@
 		Servers:  h.servers,
 		Config: &ingress.Config{
 			Version:       1,
-			Routes:        []ingress.Route{route("once", ingress.AtMostOnce, 1), route("again", ingress.Idempotent, 2), route("stream", ingress.Stream, 2), public},
+			Routes:        []ingress.Route{route("once", ingress.AtMostOnce, 1), route("again", ingress.Idempotent, h.maxAttempts), route("stream", ingress.Stream, 2), public},
 			Services:      []ingress.Service{{Name: "svc", Engine: h.engine}},
 			Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"key"}}},
 			Limits:        ingress.Limits{IdleTimeout: h.idleTimeout},
