Replace a standby that is silent too

Where the route allows a further server, a standby that is silent for as long as a server may be is replaced by another one; the first server is still kept, and the request counts as one that may have run at the standby. The choice and the retry are secured before the silent standby ends.

--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"bluebellwind.example/backends"
-	"bluebellwind.example/ingress"
 )
 
 const (
@@ -74,14 +73,13 @@
 	wait := waitObserver{directory: x.g.directory, server: choice.ID}
 	return func(silence time.Duration) bool {
 		if x.standby != nil {
-			return !x.standbyAnswered()
+			if x.standbyAnswered() {
+				return false
+			}
+			x.replaceStandby()
+			return true
 		}
-		s := wait.observe(silence)
-		s.objective = x.route.Objective
-		s.stream = x.route.Repeat == ingress.Stream
-		s.eventsReceived = x.eventCount > 0
-		s.slowsGroup = x.route.Resumable && x.g.directory.SlowsGroup(&choice.Server, x.service, x.route.PauseObjective)
-		if s.shouldFailOver() && !x.cannotRetry() && time.Now().After(x.standbyNotBefore) {
+		if x.wantsStandby(wait.observe(silence), choice, x.eventCount > 0) {
 			x.startStandby(choice)
 		}
 		return true
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,9 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	attempt *attempt
+	// startedAt is when the standby was started; wait observes its server.
+	startedAt time.Time
+	wait      waitObserver
 	// done is closed when the fields below have been set.
 	done chan struct{}
 	// response is nil if err is not. events reads a stream, whose first event, or whole
@@ -55,7 +59,10 @@
 	x.selectionCount++
 	x.sendCount++
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	s := &standby{choice: choice, ctx: ctx, cancel: cancel, attempt: x.trackAttempt(cancel), done: make(chan struct{})}
+	s := &standby{
+		choice: choice, ctx: ctx, cancel: cancel, attempt: x.trackAttempt(cancel), done: make(chan struct{}),
+		startedAt: time.Now(), wait: waitObserver{directory: x.g.directory, server: choice.ID},
+	}
 	request := x.newUpstreamRequest(choice)
 	request.BeforeSend = func() error { return x.checkSend(choice) }
 	request.KeepWaiting = nil
@@ -97,6 +104,31 @@
 	return false
 }
 
+// replaceStandby starts another standby in place of one that is silent too, if that is
+// allowed. The current attempt goes on meanwhile.
+func (x *exchange) replaceStandby() {
+	s := x.standby
+	if s == nil || !x.wantsStandby(s.wait.observe(time.Since(s.startedAt)), s.choice, false) {
+		return
+	}
+	x.startStandby(s.choice)
+	if x.standby == s {
+		return
+	}
+	x.standbyMayHaveRun = true
+	x.end(s)
+}
+
+// wantsStandby reports whether another server should be tried beside a silent one, and may
+// be tried now.
+func (x *exchange) wantsStandby(s stall, silent *backends.Choice, eventsReceived bool) bool {
+	s.objective = x.route.Objective
+	s.stream = x.route.Repeat == ingress.Stream
+	s.eventsReceived = eventsReceived
+	s.slowsGroup = x.route.Resumable && x.g.directory.SlowsGroup(&silent.Server, x.service, x.route.PauseObjective)
+	return s.shouldFailOver() && !x.cannotRetry() && time.Now().After(x.standbyNotBefore)
+}
+
 // wantsAnswer reports whether the response is better than to wait for a silent server.
 func (x *exchange) wantsAnswer(response *upstream.Response) bool {
 	if x.route.Repeat == ingress.Stream {
@@ -145,6 +177,9 @@
 	if s.unsent {
 		x.sendCount--
 	}
+	if errors.Is(context.Cause(s.ctx), errQuarantined) {
+		return outcomeQuarantined
+	}
 	if s.events != nil {
 		x.attemptEvents = 0
 		return x.handleBodyError(s.choice, s.err)
@@ -189,6 +224,11 @@
 		return
 	}
 	x.standby = nil
+	x.end(s)
+}
+
+// end ends the standby without waiting for its end.
+func (x *exchange) end(s *standby) {
 	s.cancel(nil)
 	go func() {
 		<-s.done
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -21,7 +21,7 @@
 	address := c.callerAddresses["entry-1"]
 	conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true}) // The test is not about certificates.
 	assert.NilError(t, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
 	c.signal("entry-1", syscall.SIGTERM)
 	c.eventually("the entry accepts no connections", func() bool {
