Add a failing test: a server that reads a long body late is cut

Callers with a long body get a 502 though their server is sound but reads nothing of the body for over 1.2 s. unackedTimeout sets TCP_USER_TIMEOUT, which on Linux also ends a connection whose peer has kept its window closed for that long.

--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -344,3 +344,29 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), size)
 }
+
+// A server that answers late and reads a long body only then is sound. Its connection was
+// ended after 1.2 s in which it read nothing.
+func TestServerThatReadsALongBodyLateIsNotCut(t *testing.T) {
+	const size = 64 << 10
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = c.(*net.TCPConn).SetReadBuffer(8 << 10)
+		time.Sleep(2500 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetReadBuffer(1 << 20)
+		readRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 4\r\n\r\nread")
+	}()
+	r := newRequest(l.Addr().String(), "1")
+	r.Method, r.Body = "POST", []byte(strings.Repeat("x", size))
+	body, err := sendAndRead(t, upstream.NewPool(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "read")
+}
