Add a failing test: a request is called not run while a standby works on it

Callers of idempotent requests got 503 (not run) although a standby was at work on the request, if its first server had refused, but not ended that refusal, when the time or the gateway ended: the refusal sets mayHaveRun back, and a standby that is ended before it has answered is not counted. No rule is broken (idempotent only), but the promise is false.

go test -race ./gateway -run TestRefusalAtTheStop -count=2, two runs of two: silence_test.go:250: 503 (got.status int) != 502 (http.StatusBadGateway int)

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -230,3 +230,22 @@
 	assert.Equal(t, got.status, http.StatusOK, h.logLines("1"))
 	assert.Equal(t, count.Load(), int64(3))
 }
+
+// A gateway that stopped said that a request had not run, though a standby was at work on
+// it, if its first server had refused but not ended its refusal.
+func TestRefusalAtTheStopPromisesNothingForAStandby(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = silenceTimeout
+	addFailoverServers(h,
+		func(c net.Conn, r *http.Request) {
+			time.Sleep(500 * time.Millisecond)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Id"))
+			time.Sleep(silenceTimeout)
+		},
+		func(net.Conn, *http.Request) { time.Sleep(silenceTimeout) })
+	h.start()
+	time.AfterFunc(time.Second, h.gateway.endRequests)
+	got := h.send("/again/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway, h.logLines("1"))
+}
