--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -224,6 +224,7 @@
 		return
 	}
 	x.standby = nil
+	x.mayHaveRun, x.standbyMayHaveRun = true, true // It is not known how far it has come.
 	x.end(s)
 }
 
