Let the test of the last retry assert something again

TestServerIsGivenUpOnlyWithARetry checked that each server that is given up has a retry. Since no server is given up any more without an answer, it checked nothing (it passed with every retry denied). It now checks that the silent server is kept and that of two exchanges with one retry left exactly one starts a standby.

--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -73,22 +74,25 @@
 func TestServerIsGivenUpOnlyWithARetry(t *testing.T) {
 	h := newHarness(t)
 	a := h.addServer("a", answering)
+	h.addServer("b", func(net.Conn, *http.Request) { time.Sleep(time.Second) })
 	h.start()
 	h.gateway.Reload(Limits{MaxProofAge: longProofAge, RetryWindow: retry.WindowConfig{Span: 10 * time.Second, FreeRetries: 1}})
-	choice := &backends.Choice{Server: a.Server}
-	var givenUp []*exchange
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	standbys := 0
 	for range 2 {
 		x := &exchange{
-			g: h.gateway, ctx: context.Background(), serviceName: "svc", sendCount: 1, mayHaveRun: true, headerSent: true, hasLastEventID: true,
+			g: h.gateway, r: httptest.NewRequest(http.MethodPost, "/stream/x", nil), ctx: ctx,
+			serviceName: "svc", sendCount: 1, mayHaveRun: true, headerSent: true, eventCount: 1, hasLastEventID: true,
 			route: &ingress.Route{Repeat: ingress.Stream, Resumable: true, MaxAttempts: 2},
 		}
-		if !x.waitPolicy(choice)(maxStall) {
-			givenUp = append(givenUp, x)
+		assert.Check(t, x.waitPolicy(&backends.Choice{Server: a.Server})(maxStall), "the silent server was given up")
+		if x.standby != nil {
+			standbys++
+			defer x.endStandby()
 		}
 	}
-	for _, x := range givenUp {
-		assert.Equal(t, x.claimRetry(outcomeFailed), "")
-	}
+	assert.Equal(t, standbys, 1)
 }
 
 // A stream that had begun was cut shortly before the time that its caller gave it.
