Give a server time to read a long body

A sound server that answered, or worked, before it had read a long body was cut after 1.2 to 1.6 s: TCP_USER_TIMEOUT also counts the time in which the other side reads nothing and its window stays closed. While a body of more than 16 KiB is written the limit is 12 s now; it is set back before the connection is used again. The policy and the deadline still end a wait.

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"bluebellwind.example/internal/nettimeout"
 )
 
 // maxInlineBodyBytes is the size up to which a request body is written before the
@@ -15,6 +17,11 @@
 // respond before it has read the whole body.
 const maxInlineBodyBytes = 16 << 10
 
+// longBodyUnackedTimeout replaces unackedTimeout while a body of more than
+// maxInlineBodyBytes is written: the kernel also counts the time in which a server that is
+// sound reads nothing of it.
+const longBodyUnackedTimeout = 12 * time.Second
+
 // waitPollInterval is the interval at which Request.KeepWaiting is called during
 // silence.
 const waitPollInterval = 100 * time.Millisecond
@@ -159,6 +166,9 @@
 	if err := w.Flush(); err != nil {
 		return nil, err
 	}
+	if err := nettimeout.Set(c.Conn, longBodyUnackedTimeout); err != nil {
+		return nil, err
+	}
 	bodyWritten := make(chan error, 1)
 	go func() {
 		_, err := c.Write(r.Body)
@@ -255,14 +265,26 @@
 		r.pool.discard(r.conn)
 		return
 	}
-	r.conn.keepWaiting = nil
-	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
+	if err := r.conn.reset(r.bodyWritten != nil); err != nil {
 		r.pool.discard(r.conn)
 		return
 	}
 	r.pool.release(r.conn)
 }
 
+// reset prepares the connection for another request. longBody says that the last one had a
+// body that was written concurrently.
+func (c *conn) reset(longBody bool) error {
+	c.keepWaiting = nil
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if !longBody {
+		return nil
+	}
+	return nettimeout.Set(c.Conn, unackedTimeout)
+}
+
 // requestSent reports whether the whole request has been written.
 func (r *Response) requestSent() bool {
 	if r.bodyWritten == nil {
