--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,10 +24,15 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	attempt *attempt
+	// startedAt is when the standby was started; wait observes its server.
+	startedAt time.Time
+	wait      waitObserver
 	// done is closed when the fields below have been set.
 	done chan struct{}
-	// response has its first data, or its end, if err is nil.
+	// response is nil if err is not. events reads a stream, whose first event, or whole
+	// end, has arrived.
 	response *upstream.Response
+	events   *eventReader
 	err      error
 	// unsent is set if err says that nothing was sent.
 	unsent bool
@@ -53,7 +59,10 @@
 	x.selectionCount++
 	x.sendCount++
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	s := &standby{choice: choice, ctx: ctx, cancel: cancel, attempt: x.trackAttempt(cancel), done: make(chan struct{})}
+	s := &standby{
+		choice: choice, ctx: ctx, cancel: cancel, attempt: x.trackAttempt(cancel), done: make(chan struct{}),
+		startedAt: time.Now(), wait: waitObserver{directory: x.g.directory, server: choice.ID},
+	}
 	request := x.newUpstreamRequest(choice)
 	request.BeforeSend = func() error { return x.checkSend(choice) }
 	request.KeepWaiting = nil
@@ -61,8 +70,8 @@
 	go s.run(x.g.pool, request, x.route.Repeat == ingress.Stream)
 }
 
-// run sends the request. For a stream it waits until data of the body, or its end, has
-// arrived.
+// run sends the request. For a stream it waits until the first event, or the end of a
+// whole stream without events, has arrived.
 func (s *standby) run(pool *upstream.Pool, request *upstream.Request, stream bool) {
 	defer close(s.done)
 	s.response, s.err = pool.Send(s.ctx, request)
@@ -73,7 +82,8 @@
 	if !stream || s.response.Status != http.StatusOK {
 		return
 	}
-	if s.err = s.response.AwaitBody(); s.err != nil {
+	s.events = newEventReader(s.response)
+	if s.err = s.events.awaitEvent(); s.err != nil {
 		s.response.Close()
 	}
 }
@@ -94,6 +104,31 @@
 	return false
 }
 
+// replaceStandby starts another standby in place of one that is silent too, if that is
+// allowed. The current attempt goes on meanwhile.
+func (x *exchange) replaceStandby() {
+	s := x.standby
+	if s == nil || !x.wantsStandby(s.wait.observe(time.Since(s.startedAt)), s.choice, false) {
+		return
+	}
+	x.startStandby(s.choice)
+	if x.standby == s {
+		return
+	}
+	x.standbyMayHaveRun = true
+	x.end(s)
+}
+
+// wantsStandby reports whether another server should be tried beside a silent one, and may
+// be tried now.
+func (x *exchange) wantsStandby(s stall, silent *backends.Choice, eventsReceived bool) bool {
+	s.objective = x.route.Objective
+	s.stream = x.route.Repeat == ingress.Stream
+	s.eventsReceived = eventsReceived
+	s.slowsGroup = x.route.Resumable && x.g.directory.SlowsGroup(&silent.Server, x.service, x.route.PauseObjective)
+	return s.shouldFailOver() && !x.cannotRetry() && time.Now().After(x.standbyNotBefore)
+}
+
 // wantsAnswer reports whether the response is better than to wait for a silent server.
 func (x *exchange) wantsAnswer(response *upstream.Response) bool {
 	if x.route.Repeat == ingress.Stream {
@@ -136,11 +171,19 @@
 	return true
 }
 
-// recordStandbyError records a standby that received no response.
+// recordStandbyError records a standby that received no response, or broke off before its
+// first event.
 func (x *exchange) recordStandbyError(s *standby) attemptOutcome {
 	if s.unsent {
 		x.sendCount--
 	}
+	if errors.Is(context.Cause(s.ctx), errQuarantined) {
+		return outcomeQuarantined
+	}
+	if s.events != nil {
+		x.attemptEvents = 0
+		return x.handleBodyError(s.choice, s.err)
+	}
 	return x.handleSendError(s.choice, s.err)
 }
 
@@ -171,7 +214,7 @@
 	}
 	defer s.response.Close()
 	s.response.SetKeepWaiting(x.waitPolicy(s.choice))
-	return x.relay(s.choice, s.response, mayHaveRunBefore)
+	return x.relay(s.choice, s.response, s.events, mayHaveRunBefore)
 }
 
 // endStandby ends a standby that is not needed, without waiting for its end.
@@ -181,6 +224,12 @@
 		return
 	}
 	x.standby = nil
+	x.mayHaveRun, x.standbyMayHaveRun = true, true // It is not known how far it has come.
+	x.end(s)
+}
+
+// end ends the standby without waiting for its end.
+func (x *exchange) end(s *standby) {
 	s.cancel(nil)
 	go func() {
 		<-s.done
