Take the status of a restarted agent at once

What callers saw: streams of a group stood still for up to 1.2 s after one of its agents was restarted during a switch of maps.

Cause: agents number their statuses from 1 at each start. The leader took those of the new process for delayed ones of the old process, until 0.7 s after the last status of that one, and did not learn in that time that the rank was armed.

Ruled out: lost datagrams, which would not follow restarts.

Before: TestStatusOfARestartedAgentCountsAtOnce, without the change: presence_test.go:62: assertion failed: 500 (l.sequences[2] uint64) != 1 (uint64) After: passes. A later incarnation starts a new numbering, and a status of an earlier one is dropped.

--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -305,7 +305,9 @@
 	if a.report.Group.Rank == initiatorRank && (s.Prepared != 0 || s.ArmedVersion != 0) {
 		a.wakeLeader()
 	}
-	a.leader.setPeer(from, int(s.Rank))
+	if !a.leader.noteAgent(from, int(s.Rank)) {
+		return
+	}
 	a.leader.requestsByRank[int(s.Rank)] = int(s.Running + s.Waiting)
 	a.leader.passTimes[int(s.Rank)] = float64(s.PaceMilli) / paceUnit
 	group := a.report.Group
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -118,11 +118,22 @@
 	})
 }
 
-// setPeer records the agent of a rank.
-func (l *leader) setPeer(p mesh.Peer, rank int) {
-	if l.peers != nil && rank < l.group.Size {
-		l.peers[rank] = p
+// noteAgent records the agent of a rank. It returns false if the agent has started again
+// since it sent its status.
+func (l *leader) noteAgent(p mesh.Peer, rank int) bool {
+	if l.peers == nil || rank >= l.group.Size {
+		return true
 	}
+	old, found := l.peers[rank]
+	sameAgent := found && old.ID == p.ID
+	if sameAgent && p.Incarnation < old.Incarnation {
+		return false
+	}
+	if !sameAgent || p.Incarnation > old.Incarnation {
+		delete(l.sequences, rank) // A new process numbers its statuses from 1.
+	}
+	l.peers[rank] = p
+	return true
 }
 
 // statusPeers returns the agents that get the status of the local rank. A candidate
--- /dev/null
+++ b/rankagent/presence_test.go
@@ -0,0 +1,65 @@
+package rankagent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/backends"
+	"bluebellwind.example/groupmap"
+	"bluebellwind.example/mesh"
+	"bluebellwind.example/mesh/meshpb"
+)
+
+// start is when the tests of leaders begin.
+var start = time.Unix(1000, 0)
+
+// groupOfLeader returns the leader of a rank of a group whose agents have all reported
+// state at start.
+func groupOfLeader(t *testing.T, rank, size int, state groupmap.RankState) *leader {
+	t.Helper()
+	a := newFakeAgent("s", map[string]*fakeEngine{"s": newFakeEngine(rank, size, state)})
+	l := &a.leader
+	for _, r := range append([]int{rank}, ranksOf(size)...) {
+		group := backends.Group{Name: "g", Epoch: state.Epoch, Rank: r, Size: size}
+		if r == rank {
+			a.report.Group = group
+			l.observe(group, "", "s", state, 1, start)
+			continue
+		}
+		assert.Assert(t, l.noteAgent(mesh.Peer{ID: agentID(r), Incarnation: 5}, r))
+		l.observe(group, agentID(r), "s", state, 1, start)
+	}
+	return l
+}
+
+func agentID(rank int) string { return "agent-" + string(rune('a'+rank)) }
+
+func ranksOf(size int) []int {
+	out := make([]int, size)
+	for r := range out {
+		out[r] = r
+	}
+	return out
+}
+
+var preparedState = groupmap.RankState{Epoch: 1, Open: true, Step: 10, PreparedVersion: 7}
+
+// status returns a status of the agent of a rank.
+func status(rank int, sequence uint64) *meshpb.RankStatus {
+	return &meshpb.RankStatus{Server: "s", Up: true, Group: "g", Epoch: 1, Rank: uint32(rank), Size: 4, Open: true, Step: 10, Sequence: sequence}
+}
+
+// An agent was back 0.54 s after its stop, but its statuses, which it numbers from 1
+// again, were taken for delayed ones until 0.7 s after its last one.
+func TestStatusOfARestartedAgentCountsAtOnce(t *testing.T) {
+	l := groupOfLeader(t, 0, 4, preparedState)
+	l.sequences[2], l.heardAt[2] = 500, time.Now()
+	s := status(2, 1)
+	s.Prepared, s.ArmedVersion, s.ArmedStep = 7, 7, 12
+	l.agent.handleStatus(mesh.Peer{ID: agentID(2), Incarnation: 6}, s)
+	assert.Equal(t, l.sequences[2], uint64(1))
+	l.agent.handleStatus(mesh.Peer{ID: agentID(2), Incarnation: 5}, status(2, 501))
+	assert.Equal(t, l.sequences[2], uint64(1), "a status of the process before")
+}
