Hold a group only while each of its ranks can be armed at once

What callers saw: a group stood still beside the restart of an agent, though its own leader went on.

Cause: the leader held the group as soon as all ranks had prepared the map, whether or not their agents were there to arm them. An agent that is restarted is away for 0.54 s.

Ruled out: waiting for the agent to come back. A rank that was reached directly in the last 0.3 s can be armed too, and a popular map would be late by the time of the restart.

A hold is now sent only if each agent has sent a status in the last one and a half periods and has not left, or its rank was read directly in the last 0.3 s. Ranks that keep a hold waiting are read. A switch without its hold is given up after 6 s, as before.

The schedules of TestNoPassOnTwoMapsWhileAgentsStop have times without holds.

--- a/groupmap/planned_test.go
+++ b/groupmap/planned_test.go
@@ -20,16 +20,21 @@
 	ownSwitchTicks = 100
 )
 
-// injectPlanned draws agents that are told to stop.
+// injectPlanned draws agents that are told to stop, and times without new holds.
 func (sim *groupSim) injectPlanned() {
 	if sim.planned == nil {
 		return
 	}
 	l := sim.leaders[sim.planned.IntN(2)]
 	running := l.stoppedUntil < sim.tick && l.frozenUntil <= sim.tick
-	if sim.planned.IntN(75) == 0 && running && l.stayUntil == 0 {
-		l.stayUntil = sim.tick + stayTicks
-		sim.stops++
+	switch sim.planned.IntN(150) {
+	case 0, 1:
+		if running && l.stayUntil == 0 {
+			l.stayUntil = sim.tick + stayTicks
+			sim.stops++
+		}
+	case 2:
+		l.holdBlockedUntil = sim.tick + sim.planned.IntN(80)
 	}
 }
 
@@ -52,7 +57,7 @@
 }
 
 // TestNoPassOnTwoMapsWhileAgentsStop runs the random schedules with agents that are told
-// to stop besides.
+// to stop besides, and holds that must wait.
 func TestNoPassOnTwoMapsWhileAgentsStop(t *testing.T) {
 	switches, stops, longStays := 0, 0, 0
 	n := schedules(t)
@@ -112,3 +117,33 @@
 	})
 	assert.Assert(t, !s.Unfinished(), "the pass has begun")
 }
+
+// No hold is sent while holds are blocked, and a switch without one can be given up.
+func TestBlockedHoldWaits(t *testing.T) {
+	s := groupmap.NewSwitch(simRanks, true, groupmap.SwitchTiming{})
+	now := time.Unix(1000, 0)
+	observeAll(s, func(_ int, state *groupmap.RankState) { state.PreparedVersion = 0 })
+	next := groupmap.InitialMap(simShape)
+	next.Version = 7
+	assert.Assert(t, s.Start(next, now) && s.Unfinished())
+	assert.Equal(t, len(s.Tick(now, 1)), simRanks)
+	assert.Assert(t, !s.AwaitsHold())
+	observeAll(s, nil)
+	s.BlockHold(true)
+	assert.Equal(t, len(s.Tick(now, 1)), 0)
+	assert.Assert(t, s.AwaitsHold())
+	s.BlockHold(false)
+	orders := s.Tick(now, 1)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Kind, groupmap.Hold)
+	s.Abandon()
+	assert.Assert(t, s.Unfinished(), "the hold may be on its way")
+
+	s = groupmap.NewSwitch(simRanks, true, groupmap.SwitchTiming{})
+	observeAll(s, nil)
+	assert.Assert(t, s.Start(next, now))
+	s.BlockHold(true)
+	s.Tick(now, 1)
+	s.Abandon()
+	assert.Assert(t, !s.Unfinished())
+}
--- a/groupmap/progress.go
+++ b/groupmap/progress.go
@@ -38,3 +38,15 @@
 		s.target = nil
 	}
 }
+
+// BlockHold sets whether no hold may be sent. A switch then waits until it may, or is
+// given up after PrepareTimeout.
+func (s *Switch) BlockHold(blocked bool) { s.holdBlocked = blocked }
+
+// AwaitsHold reports whether all ranks have prepared the map of the switch that this
+// initiator has started, so that the group is to be held next.
+func (s *Switch) AwaitsHold() bool {
+	heldStep, version, _ := s.heldAndArmed()
+	return s.initiator && s.target != nil && heldStep == 0 && version == 0 && s.complete() &&
+		s.commonPrepared() == s.target.Version
+}
--- a/groupmap/world_test.go
+++ b/groupmap/world_test.go
@@ -63,7 +63,8 @@
 	// passDuration is the pass duration that the leaders are given, or zero if it
 	// is unknown to them.
 	passDuration time.Duration
-	// planned draws when agents are told to stop; nil if none is.
+	// planned draws when agents are told to stop and when holds may not be started;
+	// nil if none of that happens.
 	planned *rand.Rand
 	// stops counts the agents that were told to stop, longStays those of them that
 	// stayed until their time was up.
@@ -80,8 +81,8 @@
 	lastReadAt   []int
 	incarnation  int
 	// stayUntil is when the agent, which was told to stop, exits at the latest, or
-	// zero.
-	stayUntil int
+	// zero. holdBlockedUntil is when it may start holds again.
+	stayUntil, holdBlockedUntil int
 }
 
 const (
@@ -125,7 +126,7 @@
 	l.mapSwitch.SetPassDuration(sim.passDuration)
 	l.currentMap = nil
 	l.lastReadAt = make([]int, simRanks)
-	l.stayUntil = 0
+	l.stayUntil, l.holdBlockedUntil = 0, 0
 }
 
 // executeOrder handles an order as an engine does.
@@ -286,6 +287,7 @@
 		l.currentMap.Version = version
 		l.mapSwitch.SetCurrentMap(l.currentMap)
 	}
+	l.mapSwitch.BlockHold(l.holdBlockedUntil > sim.tick)
 	if l.initiator && l.stayUntil == 0 && l.mapSwitch.Ready() && sim.rng.IntN(20) == 0 && sim.tick < faultTicks {
 		next := sim.randomMap()
 		next.Version = l.mapSwitch.NextVersion(sim.minVersion())
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -175,6 +175,7 @@
 		return
 	}
 	l.plan(ctx, now)
+	l.mapSwitch.BlockHold(!l.mayHold(now))
 	minVersion := uint64(a.options.Uptime().Milliseconds())
 	orders := l.mapSwitch.Tick(now, minVersion)
 	sends := l.orderSenders(ctx, orders, now)
@@ -212,8 +213,8 @@
 	}
 }
 
-// silentRanksToRead returns the servers, by rank, whose agents are silent and
-// which are due for a direct read. There are none once the switch has settled.
+// silentRanksToRead returns the servers, by rank, whose agents are silent, or keep a
+// hold waiting, and which are due for a direct read. There are none once the switch has settled.
 // Until then, a rank may hold a pass without its silent agent having reported
 // the hold.
 func (l *leader) silentRanksToRead(now time.Time) map[int]string {
@@ -221,8 +222,10 @@
 		return nil
 	}
 	out := make(map[int]string)
+	awaitsHold := l.mapSwitch.AwaitsHold()
 	for rank, server := range l.servers {
-		if rank == l.group.Rank || !l.silent(rank, now) || now.Sub(l.remoteReadAt[rank]) < remoteReadPeriod {
+		awaited := l.silent(rank, now) || awaitsHold && !l.reachable(rank, now)
+		if rank == l.group.Rank || !awaited || now.Sub(l.remoteReadAt[rank]) < remoteReadPeriod {
 			continue
 		}
 		l.remoteReadAt[rank] = now
--- a/rankagent/presence.go
+++ b/rankagent/presence.go
@@ -7,15 +7,27 @@
 	"bluebellwind.example/mesh"
 )
 
+const (
+	// freshStatusPeriods is the age of the last status of an agent, in periods of the
+	// status messages, up to which a hold may count on the agent.
+	freshStatusPeriods = 1.5
+	// reachedSpan is how long a hold may count on a rank that was reached directly.
+	reachedSpan = 300 * time.Millisecond
+)
+
 // presence is what a leader knows of the agents of its group besides their statuses. The
 // maps are indexed by rank.
 type presence struct {
 	// left holds the agents that have said that they leave.
 	left map[int]bool
+	// reachedAt is when the server of a rank last answered this agent.
+	reachedAt map[int]time.Time
 }
 
 func newPresence() presence {
-	return presence{left: make(map[int]bool)}
+	return presence{
+		left: make(map[int]bool), reachedAt: make(map[int]time.Time),
+	}
 }
 
 // noteAgent records the agent of a rank and whether it leaves. It returns false if the
@@ -46,6 +58,27 @@
 	return l.presence.left[rank] || now.Sub(l.heardAt[rank]) >= l.silenceTimeout
 }
 
+// reachable reports whether orders get to a rank without delay: through its agent, or
+// directly, as a read has shown.
+func (l *leader) reachable(rank int, now time.Time) bool {
+	fresh := time.Duration(freshStatusPeriods * float64(l.silenceTimeout) / silentStatusPeriods)
+	if !l.presence.left[rank] && now.Sub(l.heardAt[rank]) < fresh {
+		return true
+	}
+	return now.Sub(l.presence.reachedAt[rank]) < reachedSpan
+}
+
+// mayHold reports whether the group may be held: each rank can be ordered to arm without
+// delay.
+func (l *leader) mayHold(now time.Time) bool {
+	for rank := range l.group.Size {
+		if rank != l.group.Rank && !l.reachable(rank, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // readRemote reads a rank directly from its server.
 func (l *leader) readRemote(ctx context.Context, rank int, server string) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -58,8 +91,17 @@
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
 	if report.Group.Name == l.group.Name && report.Group.Rank == rank {
-		l.mapSwitch.Observe(rank, report.State)
+		l.observeRemote(rank, report, time.Now())
+	}
+}
+
+// observeRemote takes in a report that was read directly from a rank.
+func (l *leader) observeRemote(rank int, report Report, now time.Time) {
+	if !l.reachable(rank, now) && l.mapSwitch.AwaitsHold() {
+		l.agent.wakeLeader()
 	}
+	l.presence.reachedAt[rank] = now
+	l.mapSwitch.Observe(rank, report.State)
 }
 
 // allRanksHeard reports whether no agent of the group has been without a status for the
--- a/rankagent/presence_test.go
+++ b/rankagent/presence_test.go
@@ -88,3 +88,34 @@
 	assert.Assert(t, l.noteAgent(mesh.Peer{ID: agentID(0), Incarnation: 5}, 0, true))
 	assert.Assert(t, l.isActive(now))
 }
+
+// A hold stops every stream of the group, so it waits until each rank can be armed at
+// once.
+func TestNoHoldWhileARankCannotBeArmedAtOnce(t *testing.T) {
+	l := groupOfLeader(t, 0, 4, preparedState)
+	now := start.Add(10 * time.Millisecond)
+	assert.Assert(t, l.mayHold(now))
+	assert.Assert(t, l.noteAgent(mesh.Peer{ID: agentID(2), Incarnation: 5}, 2, true))
+	assert.Assert(t, !l.mayHold(now), "an agent has left")
+	report := Report{Group: backends.Group{Name: "g", Epoch: 1, Rank: 2, Size: 4}, State: groupmap.RankState{Epoch: 1, Open: true, Step: 9}}
+	l.observeRemote(2, report, now)
+	assert.Assert(t, l.mayHold(now), "its rank was reached directly")
+	assert.Assert(t, !l.mayHold(now.Add(reachedSpan)))
+	assert.Assert(t, l.noteAgent(mesh.Peer{ID: agentID(2), Incarnation: 6}, 2, false))
+	assert.Assert(t, l.mayHold(now.Add(reachedSpan/10)))
+	assert.Assert(t, !l.mayHold(start.Add(400*time.Millisecond)), "no status for two periods: the agents may have been killed")
+}
+
+// A rank that keeps a hold waiting is read directly, and the hold goes on at once.
+func TestRankThatKeepsAHoldWaitingIsRead(t *testing.T) {
+	l := groupOfLeader(t, 0, 4, groupmap.RankState{Epoch: 1, Open: true, Step: 10})
+	next := groupmap.InitialMap(groupmap.Shape{Sets: 1, Ranks: 4, Experts: 4})
+	next.Version = 7
+	assert.Assert(t, l.mapSwitch.Start(next, start))
+	late := start.Add(400 * time.Millisecond)
+	assert.Equal(t, len(l.silentRanksToRead(late)), 0, "the ranks copy experts")
+	for rank := range 4 {
+		l.mapSwitch.Observe(rank, preparedState)
+	}
+	assert.Equal(t, len(l.silentRanksToRead(late)), 3)
+}
