Arm a held rank directly once its agent is late

What callers saw: a group stood still for 0.7 s and more after an agent was killed while it was held, or until the agent that had held it was back.

Cause: an agent that says nothing counted on for 0.7 s, whatever the group waits for. Direct orders then were confirmed by a direct report, which is 0.2 s old and more (report_lag_ms); a late report could also undo what a status had told.

Ruled out: a shorter silence for all purposes, since single statuses are lost and 96 agents send one each 0.49 s.

An order on which a held group waits (all but prepare) now goes directly after 0.1 s without effect, in practice with its third send after 0.12 s. The rank's answer to it counts as its report, unless another order or report has overtaken it. A report to another machine counts only 0.5 s after the last status of the rank. While the group is held, the next candidate helps after 0.15 s, the one after it after 0.3 s. A status 202 counts for a prepare only.

Before, with each mechanism edited out: presence_test.go:131: assertion failed: expression is false: l.goesDirectly(arm, start) presence_test.go:163: ... l.mayHold(time.Now()): the ranks were reached presence_test.go:164: assertion failed: 0 (int) != 1 (int) (answers not counted) presence_test.go:177: ... l.mapSwitch.Settled() is true: the rank has prepared a map since presence_test.go:145: ... expression is false: l.isActive(start.Add(helpDelay)) tick_test.go:56: ... l.heldFor(time.Now().Add(helpDelay)) is less than helpDelay orders_test.go:21: assertion failed: expected an error, got nil planned_test.go:178: assertion failed: 0s (again[0].Unconfirmed) != 100ms After: pass. The schedules of TestNoPassOnTwoMapsWhileAgentsStop have direct orders whose answers come up to 0.2 s late or not at all.

--- a/groupmap/order.go
+++ b/groupmap/order.go
@@ -1,5 +1,7 @@
 package groupmap
 
+import "time"
+
 // OrderKind is the kind of an order to a rank. Messages between agents carry its
 // number, and orders to a model server its name, see String.
 type OrderKind uint8
@@ -38,6 +40,8 @@
 	Map *Map
 	// Resent is set if the same order was sent before and had no effect.
 	Resent bool
+	// Unconfirmed is how long ago the same order was sent first.
+	Unconfirmed time.Duration
 }
 
 // RankState is the state that a rank last reported.
--- a/groupmap/planned_test.go
+++ b/groupmap/planned_test.go
@@ -56,8 +56,16 @@
 	l.stayUntil, l.stoppedUntil = 0, sim.tick+restartTicks
 }
 
+// sendAnswer sends the answer of a rank to the leader whose order it carried out. It
+// arrives up to 200 ms later, or not at all.
+func (sim *groupSim) sendAnswer(f delivery) {
+	if sim.planned.IntN(10) > 0 {
+		sim.inFlight = append(sim.inFlight, delivery{deliverAt: sim.tick + 1 + sim.planned.IntN(20), confirmed: f.order, leader: f.leader, readAt: f.readAt})
+	}
+}
+
 // TestNoPassOnTwoMapsWhileAgentsStop runs the random schedules with agents that are told
-// to stop besides, and holds that must wait.
+// to stop besides, holds that must wait and orders that go directly to the ranks.
 func TestNoPassOnTwoMapsWhileAgentsStop(t *testing.T) {
 	switches, stops, longStays := 0, 0, 0
 	n := schedules(t)
@@ -147,3 +155,38 @@
 	s.Abandon()
 	assert.Assert(t, !s.Unfinished())
 }
+
+// The answer of a rank to an order counts like its report, unless another order or a
+// later report has overtaken it.
+func TestAnswersOfRanksCount(t *testing.T) {
+	s := groupmap.NewSwitch(simRanks, false, groupmap.SwitchTiming{})
+	now := time.Unix(1000, 0)
+	held := func(rank int, state *groupmap.RankState) {
+		if rank == 0 {
+			state.HeldStep = 12
+		}
+	}
+	observeAll(s, held)
+	arms := s.Tick(now, 1)
+	assert.Equal(t, len(arms), simRanks)
+	for _, o := range arms[1:] {
+		s.Confirm(o)
+	}
+	later := now.Add(100 * time.Millisecond)
+	again := s.Tick(later, 1)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Unconfirmed, 100*time.Millisecond)
+	s.Confirm(again[0])
+	release := s.Tick(later, 1)
+	assert.Equal(t, len(release), 1)
+	assert.Equal(t, release[0].Kind, groupmap.Release)
+	s.Confirm(again[0]) // Overtaken by the order to rank 0 since.
+	s.Confirm(release[0])
+	assert.Assert(t, !s.Unfinished())
+
+	observeAll(s, func(_ int, state *groupmap.RankState) { state.Step, state.MapVersion, state.PreparedVersion = 12, 7, 0 })
+	for _, o := range arms {
+		s.Confirm(o)
+	}
+	assert.Assert(t, s.Settled(), "the pass has begun since")
+}
--- a/groupmap/progress.go
+++ b/groupmap/progress.go
@@ -31,6 +31,12 @@
 	return true
 }
 
+// Held reports whether a rank holds the group.
+func (s *Switch) Held() bool {
+	heldStep, _, _ := s.heldAndArmed()
+	return heldStep != 0
+}
+
 // Abandon gives up a switch for which no hold was sent and no rank is held or armed.
 func (s *Switch) Abandon() {
 	heldStep, version, _ := s.heldAndArmed()
@@ -50,3 +56,24 @@
 	return s.initiator && s.target != nil && heldStep == 0 && version == 0 && s.complete() &&
 		s.commonPrepared() == s.target.Version
 }
+
+// Confirm records that a rank has answered that it carried out o. It has no effect if
+// this Switch has sent the rank another order since, or if the last known state of the
+// rank shows that the order is over.
+func (s *Switch) Confirm(o Order) {
+	if o.Rank < 0 || o.Rank >= len(s.rankStates) || o.Epoch != s.epoch || !s.observed[o.Rank] {
+		return
+	}
+	r, last := &s.rankStates[o.Rank], s.lastOrders[o.Rank]
+	if last.kind != o.Kind || last.version != o.Version || last.step != o.Step {
+		return
+	}
+	switch {
+	case o.Kind == Arm && r.ArmedVersion == 0 && r.PreparedVersion == o.Version && r.Step < o.Step:
+		r.ArmedVersion, r.ArmedStep = o.Version, o.Step
+	case o.Kind == Disarm && r.ArmedVersion == o.Version:
+		r.ArmedVersion, r.ArmedStep = 0, 0
+	case o.Kind == Release && r.HeldStep == o.Step:
+		r.HeldStep = 0
+	}
+}
--- a/groupmap/switch.go
+++ b/groupmap/switch.go
@@ -96,11 +96,11 @@
 	holdDisabled, unanimityDisabled bool
 }
 
-// sentOrder records the last order to a rank and when it was sent.
+// sentOrder records the last order to a rank, and when it was sent first and last.
 type sentOrder struct {
-	kind          OrderKind
-	version, step uint64
-	sentAt        time.Time
+	kind                OrderKind
+	version, step       uint64
+	firstSentAt, sentAt time.Time
 }
 
 // NewSwitch returns a Switch for a group of size ranks.
@@ -391,8 +391,12 @@
 	if resent && now.Sub(last.sentAt) < interval {
 		return out
 	}
-	*last = sentOrder{kind: o.Kind, version: o.Version, step: o.Step, sentAt: now}
+	firstSentAt := now
+	if resent {
+		firstSentAt = last.firstSentAt
+	}
+	*last = sentOrder{kind: o.Kind, version: o.Version, step: o.Step, firstSentAt: firstSentAt, sentAt: now}
 	o.Epoch = s.epoch
-	o.Resent = resent
+	o.Resent, o.Unconfirmed = resent, now.Sub(firstSentAt)
 	return append(out, o)
 }
--- a/groupmap/world_test.go
+++ b/groupmap/world_test.go
@@ -31,6 +31,10 @@
 	rank   int
 	leader int
 	readAt int
+	// direct is set if the leader sent the order to the rank itself and learns from
+	// the answer that it was carried out; confirmed is that answer.
+	direct    bool
+	confirmed *groupmap.Order
 }
 
 func sameExperts(a, b *groupmap.Map) bool {
@@ -63,8 +67,8 @@
 	// passDuration is the pass duration that the leaders are given, or zero if it
 	// is unknown to them.
 	passDuration time.Duration
-	// planned draws when agents are told to stop and when holds may not be started;
-	// nil if none of that happens.
+	// planned draws when agents are told to stop, when holds may not be started and
+	// which orders go directly to a rank; nil if none of that happens.
 	planned *rand.Rand
 	// stops counts the agents that were told to stop, longStays those of them that
 	// stayed until their time was up.
@@ -129,16 +133,17 @@
 	l.stayUntil, l.holdBlockedUntil = 0, 0
 }
 
-// executeOrder handles an order as an engine does.
-func (sim *groupSim) executeOrder(o *groupmap.Order) {
+// executeOrder handles an order as an engine does. It reports whether the rank is then
+// in the state that the order asks for.
+func (sim *groupSim) executeOrder(o *groupmap.Order) (done bool) {
 	r := sim.ranks[o.Rank]
 	if o.Epoch != r.Epoch || sim.downUntil > sim.tick {
-		return
+		return false
 	}
 	switch o.Kind {
 	case groupmap.Prepare:
 		if o.Version <= r.highestVersion || r.ArmedVersion != 0 {
-			return
+			return false
 		}
 		r.highestVersion, r.copyingVersion, r.copiedAt = o.Version, o.Version, sim.tick+1+sim.rng.IntN(40)
 		r.PreparedVersion = 0
@@ -146,10 +151,12 @@
 	case groupmap.Arm:
 		if r.PreparedVersion == o.Version && r.PreparedVersion != 0 && o.Step > r.Step && (r.ArmedVersion == 0 || r.ArmedVersion == o.Version) {
 			r.ArmedVersion, r.ArmedStep = o.Version, o.Step
+			return true
 		}
 	case groupmap.Disarm:
 		if r.ArmedVersion == o.Version {
 			r.ArmedVersion, r.ArmedStep = 0, 0
+			return true
 		}
 	case groupmap.Hold:
 		if o.Step > r.Step && r.HeldStep == 0 {
@@ -158,8 +165,10 @@
 	case groupmap.Release:
 		if r.HeldStep == o.Step {
 			r.HeldStep = 0
+			return true
 		}
 	}
+	return false
 }
 
 // sendState sends the state of a rank to both agents, as its agent does right
@@ -258,11 +267,20 @@
 	sim.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, f := range due {
 		if f.order != nil {
-			sim.executeOrder(f.order)
+			done := sim.executeOrder(f.order)
 			sim.sendState(f.order.Rank)
+			if done && f.direct {
+				sim.sendAnswer(f)
+			}
 			continue
 		}
 		l := sim.leaders[f.leader]
+		if f.confirmed != nil {
+			if l.stoppedUntil <= sim.tick && f.readAt == l.incarnation {
+				l.mapSwitch.Confirm(*f.confirmed)
+			}
+			continue
+		}
 		if l.stoppedUntil > sim.tick || f.readAt < l.lastReadAt[f.rank] {
 			continue
 		}
@@ -296,7 +314,7 @@
 		}
 	}
 	for _, o := range l.mapSwitch.Tick(sim.now(), sim.minVersion()) {
-		sim.sendOrder(o)
+		sim.sendOrder(i, o)
 	}
 }
 
@@ -309,12 +327,13 @@
 }
 
 // sendOrder sends an order. Some orders are carried out late, some twice.
-func (sim *groupSim) sendOrder(o groupmap.Order) {
+func (sim *groupSim) sendOrder(leader int, o groupmap.Order) {
 	at := sim.tick + 1 + sim.rng.IntN(2)
 	if sim.rng.Float64() < sim.delayedShare {
 		at = sim.tick + 200 + sim.rng.IntN(1000)
 	}
-	sim.inFlight = append(sim.inFlight, delivery{deliverAt: at, order: &o})
+	direct := sim.planned != nil && o.Kind != groupmap.Prepare && sim.planned.IntN(3) == 0
+	sim.inFlight = append(sim.inFlight, delivery{deliverAt: at, order: &o, leader: leader, readAt: sim.leaders[leader].incarnation, direct: direct})
 	if sim.rng.IntN(20) == 0 {
 		sim.inFlight = append(sim.inFlight, delivery{deliverAt: at + sim.rng.IntN(300), order: &o})
 	}
--- a/rankagent/engine.go
+++ b/rankagent/engine.go
@@ -33,9 +33,9 @@
 	Experts [][]uint16
 }
 
-// Engine is the interface of an agent to one model server. An error of Order
-// does not tell whether the order was carried out. Implementations are safe for
-// concurrent use.
+// Engine is the interface of an agent to one model server. Without an error of Order
+// a Prepare has begun and any other order has been carried out; an error does not tell
+// whether it was. Implementations are safe for concurrent use.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
 	ExpertCounts(ctx context.Context) (ExpertCounts, error)
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -97,7 +97,7 @@
 		return // A delayed datagram; a newer one was processed before.
 	}
 	l.sequences[g.Rank] = sequence
-	l.heardAt[g.Rank] = now
+	l.heardAt[g.Rank], l.presence.knownAt[g.Rank] = now, now
 	l.mapSwitch.Observe(g.Rank, state)
 }
 
@@ -151,17 +151,18 @@
 }
 
 // isActive reports whether this agent is the active leader: the candidate of the
-// lowest rank that is not silent.
+// lowest rank that is not silent. While the group is held for long, the next ones help.
 func (l *leader) isActive(now time.Time) bool {
 	if l.mapSwitch == nil || !isCandidate(l.group.Rank, l.group.Size) {
 		return false
 	}
+	ahead := 0
 	for rank := range l.group.Rank {
 		if isCandidate(rank, l.group.Size) && !l.silent(rank, now) {
-			return false
+			ahead++
 		}
 	}
-	return true
+	return ahead == 0 || l.heldFor(now) >= time.Duration(ahead)*helpDelay
 }
 
 // tick plans a map if that is due, and sends the orders that are due.
@@ -170,6 +171,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	l.silenceTimeout = max(minSilenceTimeout, silentStatusPeriods*a.statusPeriod())
+	l.noteHeld(now)
 	if a.leaving || !l.isActive(now) || !a.up {
 		a.mu.Unlock()
 		return
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -83,7 +83,7 @@
 const maxRecentMaps = 4
 
 // executeOrder sends one order to a server. If that is the local server, it
-// then reads and sends its status at once.
+// then reads and sends its status at once. The answer of another server is recorded.
 func (a *Agent) executeOrder(ctx context.Context, engine Engine, o groupmap.Order) {
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	err := engine.Order(orderCtx, o)
@@ -95,10 +95,14 @@
 		entry = entry.Str("cause", err.Error())
 	}
 	entry.Msg("")
-	if engine == a.engine {
-		a.mu.Lock()
-		a.orderedAt = time.Now()
-		a.mu.Unlock()
-		a.reportStatus(ctx, true)
+	if engine != a.engine {
+		if err == nil {
+			a.confirm(o)
+		}
+		return
 	}
+	a.mu.Lock()
+	a.orderedAt = time.Now()
+	a.mu.Unlock()
+	a.reportStatus(ctx, true)
 }
--- a/rankagent/presence.go
+++ b/rankagent/presence.go
@@ -13,6 +13,13 @@
 	freshStatusPeriods = 1.5
 	// reachedSpan is how long a hold may count on a rank that was reached directly.
 	reachedSpan = 300 * time.Millisecond
+	// maxReportLag is the greatest age of what a server reports to other machines. What
+	// was learnt without delay is not replaced by such a report for that long.
+	maxReportLag = 500 * time.Millisecond
+	// helpDelay is how long a group is held before the next candidate helps the active
+	// leader, and again until the one after it does. A switch holds a group for far
+	// less. Any number of agents may complete the same switch.
+	helpDelay = 150 * time.Millisecond
 )
 
 // presence is what a leader knows of the agents of its group besides their statuses. The
@@ -20,13 +27,17 @@
 type presence struct {
 	// left holds the agents that have said that they leave.
 	left map[int]bool
-	// reachedAt is when the server of a rank last answered this agent.
-	reachedAt map[int]time.Time
+	// knownAt is when the state of a rank was last learnt without delay, reachedAt when
+	// its server last answered this agent.
+	knownAt, reachedAt map[int]time.Time
+	// heldSince is when the group was first seen held, or zero.
+	heldSince time.Time
 }
 
 func newPresence() presence {
 	return presence{
-		left: make(map[int]bool), reachedAt: make(map[int]time.Time),
+		left:    make(map[int]bool),
+		knownAt: make(map[int]time.Time), reachedAt: make(map[int]time.Time),
 	}
 }
 
@@ -79,10 +90,28 @@
 	return true
 }
 
+// noteHeld records since when the group is held.
+func (l *leader) noteHeld(now time.Time) {
+	if l.mapSwitch == nil || !l.mapSwitch.Held() {
+		l.presence.heldSince = time.Time{}
+	} else if l.presence.heldSince.IsZero() {
+		l.presence.heldSince = now
+	}
+}
+
+// heldFor returns how long the group has been held, or zero if it is not.
+func (l *leader) heldFor(now time.Time) time.Duration {
+	if l.presence.heldSince.IsZero() {
+		return 0
+	}
+	return now.Sub(l.presence.heldSince)
+}
+
 // readRemote reads a rank directly from its server.
 func (l *leader) readRemote(ctx context.Context, rank int, server string) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := time.Now()
 	report, err := l.agent.options.Dial(server).Report(ctx)
 	if err != nil {
 		l.agent.log.Debug().Str("event", "rank_unread").Int("rank", rank).Str("cause", err.Error()).Msg("")
@@ -91,17 +120,20 @@
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
 	if report.Group.Name == l.group.Name && report.Group.Rank == rank {
-		l.observeRemote(rank, report, time.Now())
+		l.observeRemote(rank, report, began, time.Now())
 	}
 }
 
-// observeRemote takes in a report that was read directly from a rank.
-func (l *leader) observeRemote(rank int, report Report, now time.Time) {
+// observeRemote takes in a report that was read directly from a rank, unless its state
+// may be older than what is known. The read began at began.
+func (l *leader) observeRemote(rank int, report Report, began, now time.Time) {
 	if !l.reachable(rank, now) && l.mapSwitch.AwaitsHold() {
 		l.agent.wakeLeader()
 	}
 	l.presence.reachedAt[rank] = now
-	l.mapSwitch.Observe(rank, report.State)
+	if began.Sub(l.presence.knownAt[rank]) >= maxReportLag {
+		l.mapSwitch.Observe(rank, report.State)
+	}
 }
 
 // allRanksHeard reports whether no agent of the group has been without a status for the
--- a/rankagent/presence_test.go
+++ b/rankagent/presence_test.go
@@ -98,7 +98,7 @@
 	assert.Assert(t, l.noteAgent(mesh.Peer{ID: agentID(2), Incarnation: 5}, 2, true))
 	assert.Assert(t, !l.mayHold(now), "an agent has left")
 	report := Report{Group: backends.Group{Name: "g", Epoch: 1, Rank: 2, Size: 4}, State: groupmap.RankState{Epoch: 1, Open: true, Step: 9}}
-	l.observeRemote(2, report, now)
+	l.observeRemote(2, report, now, now)
 	assert.Assert(t, l.mayHold(now), "its rank was reached directly")
 	assert.Assert(t, !l.mayHold(now.Add(reachedSpan)))
 	assert.Assert(t, l.noteAgent(mesh.Peer{ID: agentID(2), Incarnation: 6}, 2, false))
@@ -119,3 +119,62 @@
 	}
 	assert.Equal(t, len(l.silentRanksToRead(late)), 3)
 }
+
+// An agent that was killed sends nothing. Its rank is ordered directly once the agent
+// has not carried out an order in time.
+func TestUnconfirmedArmGoesDirectly(t *testing.T) {
+	l := groupOfLeader(t, 0, 4, preparedState)
+	arm := groupmap.Order{Rank: 2, Kind: groupmap.Arm, Version: 7, Step: 12, Epoch: 1, Unconfirmed: 60 * time.Millisecond}
+	assert.Assert(t, !l.goesDirectly(arm, start))
+	arm.Unconfirmed = directOrderDelay
+	assert.Assert(t, l.goesDirectly(arm, start))
+	arm.Kind = groupmap.Prepare
+	assert.Assert(t, !l.goesDirectly(arm, start), "copies take their time")
+}
+
+// If the leader is killed while the group is held, the next candidate need not wait until
+// it counts as silent.
+func TestNextCandidateHelpsAHeldGroup(t *testing.T) {
+	l := groupOfLeader(t, 1, 4, preparedState)
+	held := preparedState
+	held.HeldStep = 12
+	l.mapSwitch.Observe(0, held)
+	l.noteHeld(start)
+	assert.Assert(t, !l.isActive(start.Add(helpDelay-time.Millisecond)))
+	assert.Assert(t, l.isActive(start.Add(helpDelay)))
+	l.mapSwitch.Observe(0, preparedState)
+	l.noteHeld(start.Add(helpDelay))
+	assert.Assert(t, !l.isActive(start.Add(helpDelay)))
+}
+
+// The answer of a rank to a direct order counts at once: what it reports to another
+// machine is hundreds of milliseconds old.
+func TestAnswerToADirectOrderCounts(t *testing.T) {
+	l := groupOfLeader(t, 0, 4, preparedState)
+	held := preparedState
+	held.HeldStep = 12
+	l.mapSwitch.Observe(0, held)
+	arms := l.mapSwitch.Tick(start, 1)
+	assert.Equal(t, len(arms), 4)
+	remote := newFakeEngine(2, 4, held)
+	for _, o := range arms {
+		l.agent.executeOrder(t.Context(), remote, o)
+	}
+	assert.Assert(t, l.mayHold(time.Now()), "the ranks were reached")
+	release := l.mapSwitch.Tick(start, 1)
+	assert.Equal(t, len(release), 1)
+	assert.Equal(t, release[0].Kind, groupmap.Release)
+}
+
+// A report to another machine is late. It must not undo what a status has told since.
+func TestLateReportDoesNotReplaceAStatus(t *testing.T) {
+	open := groupmap.RankState{Epoch: 1, Open: true, Step: 10}
+	l := groupOfLeader(t, 0, 4, open)
+	now := start.Add(time.Second)
+	group := backends.Group{Name: "g", Epoch: 1, Rank: 2, Size: 4}
+	l.observe(group, agentID(2), "s", preparedState, 2, now)
+	l.observeRemote(2, Report{Group: group, State: open}, now.Add(maxReportLag/2), now.Add(maxReportLag/2))
+	assert.Assert(t, !l.mapSwitch.Settled(), "the rank has prepared a map since")
+	l.observeRemote(2, Report{Group: group, State: open}, now.Add(maxReportLag), now.Add(maxReportLag))
+	assert.Assert(t, l.mapSwitch.Settled())
+}
--- a/rankagent/sending.go
+++ b/rankagent/sending.go
@@ -8,6 +8,11 @@
 	"bluebellwind.example/mesh/meshpb"
 )
 
+// directOrderDelay is how long the agent of a rank has to carry out an order that the
+// group waits for. After that the rank gets the order directly: while it is held, the
+// group stands still.
+const directOrderDelay = 100 * time.Millisecond
+
 // orderSenders returns functions that send the orders. Each returns how many bytes of
 // map data it sent over the mesh. In a large group the agents of candidates pass maps
 // on to the others.
@@ -44,10 +49,12 @@
 }
 
 // goesDirectly reports whether an order goes to the server of its rank without its
-// agent: the rank is the local one, or its agent is unknown or silent.
+// agent: the rank is the local one, its agent is unknown, silent or has not carried out
+// the order in time. A prepare takes its time at any rank.
 func (l *leader) goesDirectly(o groupmap.Order, now time.Time) bool {
 	_, known := l.peers[o.Rank]
-	return o.Rank == l.group.Rank || !known || l.silent(o.Rank, now)
+	late := o.Kind != groupmap.Prepare && o.Unconfirmed >= directOrderDelay
+	return o.Rank == l.group.Rank || !known || l.silent(o.Rank, now) || late
 }
 
 // directSender returns a function that sends an order to the server of its rank.
@@ -63,6 +70,23 @@
 	}
 }
 
+// confirm records the answer of another rank to an order. Reports of servers to other
+// machines are late, and the group may be held meanwhile.
+func (a *Agent) confirm(o groupmap.Order) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leader.mapSwitch == nil {
+		return
+	}
+	now := time.Now()
+	a.leader.presence.reachedAt[o.Rank] = now
+	if o.Kind != groupmap.Prepare { // That has only begun.
+		a.leader.presence.knownAt[o.Rank] = now
+		a.leader.mapSwitch.Confirm(o)
+	}
+	a.wakeLeader()
+}
+
 // orderMessage returns the message that carries an order to the agent of its rank, and
 // through it to the forward ranks. The map in it is the difference from the map in use,
 // or whole if the order had no effect before or if the difference is empty or longer.
--- a/rankagent/tick_test.go
+++ b/rankagent/tick_test.go
@@ -43,3 +43,15 @@
 		return poll.Continue("no hold")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
 }
+
+// Each agent watches for how long its group is held.
+func TestAgentsWatchHowLongTheirGroupIsHeld(t *testing.T) {
+	l := groupOfLeader(t, 1, 2, preparedState)
+	address := freeAddress(t)
+	l.agent.mesh = listen(t, mesh.Peer{ID: "own", Address: address, Role: mesh.RankAgent}, address, nil).node
+	held := preparedState
+	held.HeldStep = 12
+	l.mapSwitch.Observe(0, held)
+	l.tick(t.Context())
+	assert.Assert(t, l.heldFor(time.Now().Add(helpDelay)) >= helpDelay)
+}
