Send the whole map to agents that lack the one in use

What callers saw: maps that follow popularity came 0.4 s late beside restarts of agents.

Cause: the leader sent each agent the difference from the map in use. An agent that had just started did not know that one, dropped the order and got the whole map only with the second send.

Ruled out: the incarnation as the sign, since a restarted leader does not know what its predecessor sent.

Agents say in their status whether they know the map in use (map_known). Those that do not get the new one whole, apart from the others where relays pass maps on.

--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -290,6 +290,7 @@
 		Sequence:     a.sequence,
 		PassUs:       uint32(a.passTimer.meanDuration.Microseconds()),
 		Leaving:      a.leaving,
+		MapKnown:     a.knowsMapInUse(),
 	}
 }
 
@@ -322,6 +323,7 @@
 	if !a.leader.noteAgent(from, int(s.Rank), s.Leaving) {
 		return
 	}
+	a.leader.noteMap(int(s.Rank), mapKey{s.Epoch, s.Map}, s.MapKnown)
 	a.leader.requestsByRank[int(s.Rank)] = int(s.Running + s.Waiting)
 	a.leader.passTimes[int(s.Rank)] = float64(s.PaceMilli) / paceUnit
 	group := a.report.Group
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -69,13 +69,30 @@
 // initialMap returns the map that the group starts with, or nil while its
 // dimensions are unknown. The caller holds a.mu.
 func (a *Agent) initialMap() *groupmap.Map {
-	sets := len(a.heldExperts.Experts)
-	if sets == 0 || len(a.lastCounts.Chosen)%sets != 0 {
+	if !a.knowsDimensions() {
 		return nil
 	}
+	sets := len(a.heldExperts.Experts)
 	return groupmap.InitialMap(groupmap.Shape{Sets: sets, Ranks: a.report.Group.Size, Experts: len(a.lastCounts.Chosen) / sets})
 }
 
+// knowsDimensions reports whether the dimensions of the group's maps are known. The
+// caller holds a.mu.
+func (a *Agent) knowsDimensions() bool {
+	sets := len(a.heldExperts.Experts)
+	return sets != 0 && len(a.lastCounts.Chosen)%sets == 0
+}
+
+// knowsMapInUse reports whether the agent can apply a difference to the map in use at
+// its rank. The caller holds a.mu.
+func (a *Agent) knowsMapInUse() bool {
+	state := a.report.State
+	if state.MapVersion == 0 {
+		return a.knowsDimensions()
+	}
+	return a.recentMaps[mapKey{state.Epoch, state.MapVersion}] != nil
+}
+
 // mapKey identifies a map. Versions are unique within an epoch only.
 type mapKey struct{ epoch, version uint64 }
 
--- a/rankagent/presence.go
+++ b/rankagent/presence.go
@@ -27,6 +27,8 @@
 type presence struct {
 	// left holds the agents that have said that they leave.
 	left map[int]bool
+	// knownMaps holds the map in use that an agent knows.
+	knownMaps map[int]mapKey
 	// knownAt is when the state of a rank was last learnt without delay, reachedAt when
 	// its server last answered this agent.
 	knownAt, reachedAt map[int]time.Time
@@ -36,7 +38,7 @@
 
 func newPresence() presence {
 	return presence{
-		left:    make(map[int]bool),
+		left: make(map[int]bool), knownMaps: make(map[int]mapKey),
 		knownAt: make(map[int]time.Time), reachedAt: make(map[int]time.Time),
 	}
 }
@@ -63,6 +65,14 @@
 	return true
 }
 
+// noteMap records whether the agent of a rank knows the map in use.
+func (l *leader) noteMap(rank int, inUse mapKey, known bool) {
+	delete(l.presence.knownMaps, rank)
+	if known && l.presence.knownMaps != nil {
+		l.presence.knownMaps[rank] = inUse
+	}
+}
+
 // silent reports whether the agent of a rank has left or has sent no status for the
 // silence timeout.
 func (l *leader) silent(rank int, now time.Time) bool {
--- a/rankagent/sending.go
+++ b/rankagent/sending.go
@@ -15,18 +15,23 @@
 
 // orderSenders returns functions that send the orders. Each returns how many bytes of
 // map data it sent over the mesh. In a large group the agents of candidates pass maps
-// on to the others.
+// on to the others; agents that lack the map in use get the whole new one apart from
+// those that need only the difference.
 func (l *leader) orderSenders(ctx context.Context, orders []groupmap.Order, now time.Time) []func() int {
 	var sends []func() int
-	var viaAgents []groupmap.Order
+	var forKnowing, forLacking []groupmap.Order
 	for _, o := range orders {
-		if l.goesDirectly(o, now) {
+		switch {
+		case l.goesDirectly(o, now):
 			sends = append(sends, l.directSender(ctx, o))
-		} else {
-			viaAgents = append(viaAgents, o)
+		case l.knowsBase(o):
+			forKnowing = append(forKnowing, o)
+		default:
+			forLacking = append(forLacking, o)
 		}
 	}
-	for _, r := range assignRelays(viaAgents, l.relays(now)) {
+	relays := l.relays(now)
+	for _, r := range append(assignRelays(forKnowing, relays), assignRelays(forLacking, relays)...) {
 		sends = append(sends, l.agent.orderPacketSender(l.orderMessage(r), l.peers[r.order.Rank]))
 	}
 	return sends
@@ -89,7 +94,8 @@
 
 // orderMessage returns the message that carries an order to the agent of its rank, and
 // through it to the forward ranks. The map in it is the difference from the map in use,
-// or whole if the order had no effect before or if the difference is empty or longer.
+// or whole if the agents lack that, if the order had no effect before or if the
+// difference is empty or longer.
 func (l *leader) orderMessage(r relayedOrder) *meshpb.RankOrder {
 	o := r.order
 	message := &meshpb.RankOrder{
@@ -100,7 +106,7 @@
 		return message
 	}
 	encoded := o.Map.AppendBinary(nil)
-	if l.currentMap != nil && !o.Resent {
+	if l.knowsBase(o) && !o.Resent {
 		message.Difference = o.Map.AppendDifference(nil, l.currentMap)
 		message.Base = l.currentMap.Version
 	}
@@ -109,3 +115,10 @@
 	}
 	return message
 }
+
+// knowsBase reports whether the agent of the rank of an order has said that it knows
+// the map in use, to which a difference applies.
+func (l *leader) knowsBase(o groupmap.Order) bool {
+	known, found := l.presence.knownMaps[o.Rank]
+	return found && l.currentMap != nil && known == mapKey{o.Epoch, l.currentMap.Version}
+}
