Give the reply to a drain a second to arrive

An idle process ends 150 ms after the call, and on a busy machine the reply had not been read by then: the connection was closed under it.

The process now begins to drain a second after its reply. What remains: the time is still a guess; the reply is not known to have arrived.

--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -87,7 +87,7 @@
 
 // drainReplyDelay is the time between the end of the call and the start of the
 // drain, in which the reply is transmitted to the operator.
-const drainReplyDelay = 150 * time.Millisecond
+const drainReplyDelay = time.Second
 
 // Drain implements the Operator service. The drain starts after a delay, because
 // an idle process exits immediately and would close the connection before the
