Send differences of maps again right after a switch

For up to a period of the statuses after each switch the leader took all agents for such as lack the map in use, and sent each of them the whole new one, six times the difference, which its link drops. An agent that has said that it knows an earlier map of the epoch has got the later one with its order to prepare; only one that has said that it knows none, or nothing, gets the whole map.

TestAgentThatLacksTheMapInUseGetsTheWholeNewOne, extended by a switch that no status has told of, failed before and passes.

--- a/rankagent/base_test.go
+++ b/rankagent/base_test.go
@@ -27,6 +27,11 @@
 	message := l.orderMessage(prepare)
 	assert.Assert(t, len(message.Difference) > 0 && len(message.Map) == 0 && message.Base == 3)
 
+	l.currentMap.Version = 5 // A switch is over of which no status has told yet.
+	message = l.orderMessage(prepare)
+	assert.Assert(t, len(message.Difference) > 0 && message.Base == 5, "the whole map was sent after each switch")
+	l.currentMap.Version = 3
+
 	s = status(2, 1)
 	s.Map = 3
 	l.agent.handleStatus(mesh.Peer{ID: agentID(2), Incarnation: 6}, s)
--- a/rankagent/sending.go
+++ b/rankagent/sending.go
@@ -116,9 +116,10 @@
 	return message
 }
 
-// knowsBase reports whether the agent of the rank of an order has said that it knows
-// the map in use, to which a difference applies.
+// knowsBase reports whether the agent of the rank of an order knows the map in use, to
+// which a difference applies. An agent that has said that it knows an earlier map of the
+// epoch has got the map in use since, with the order to prepare it.
 func (l *leader) knowsBase(o groupmap.Order) bool {
 	known, found := l.presence.knownMaps[o.Rank]
-	return found && l.currentMap != nil && known == mapKey{o.Epoch, l.currentMap.Version}
+	return found && l.currentMap != nil && known.epoch == o.Epoch
 }
