Say of late answers which objective they missed

Neither logs nor metrics told whether a stream was late because of its first event or of a pause between two events, so overload could not be told from passes that take too long. The line of a response now has its longest pause, its priority and the objective missed; bluebellwind_late_answers_total counts by both.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"bluebellwind.example/ingress"
 )
 
 // answer is what the caller has been sent of the answer to its request.
@@ -18,6 +20,10 @@
 	// firstEventLatency is the time from the arrival of the request to its first
 	// event.
 	firstEventLatency time.Duration
+	// lastEventAt is when the latest event was sent to the caller, and longestPause the
+	// longest time between two events.
+	lastEventAt  time.Time
+	longestPause time.Duration
 }
 
 // startAfter sets the last event that the caller has received before, if it names one.
@@ -33,14 +39,47 @@
 	return ev.hasID && a.hasLastEventID && ev.id <= a.lastEventID
 }
 
-// recordEvent records an event that the caller has been sent.
-func (a *answer) recordEvent(ev event) {
+// recordEvent records an event that the caller has been sent at now.
+func (a *answer) recordEvent(ev event, now time.Time) {
 	if ev.hasID {
 		a.lastEventID, a.hasLastEventID = ev.id, true
 	}
+	if a.eventCount > 0 {
+		a.longestPause = max(a.longestPause, now.Sub(a.lastEventAt))
+	}
+	a.lastEventAt = now
 	a.eventCount++
 }
 
+// lateness is how an answer missed the latency objectives of its route.
+type lateness string
+
+const (
+	// onTime means that the objectives were met.
+	onTime lateness = ""
+	// lateStart means that the answer, or the first event of a stream, was late.
+	lateStart lateness = "start"
+	// latePause means that the pause between two events was too long.
+	latePause lateness = "pause"
+)
+
+// lateness returns how an answer that took elapsed missed the objectives of the route.
+func (a *answer) lateness(route *ingress.Route, elapsed time.Duration) lateness {
+	start := elapsed
+	if a.eventCount > 0 {
+		start = a.firstEventLatency
+	}
+	switch {
+	case route == nil:
+		return onTime
+	case route.Objective > 0 && start > route.Objective:
+		return lateStart
+	case route.PauseObjective > 0 && a.longestPause > route.PauseObjective:
+		return latePause
+	}
+	return onTime
+}
+
 // resumable reports whether another server can go on with the answer, or begin it.
 func (a *answer) resumable() bool {
 	return !a.headerSent || a.eventCount > 0 && a.hasLastEventID
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -37,9 +37,9 @@
 // logResponseEnd logs how a response ended.
 func (g *Gateway) logResponseEnd(x *exchange, event, detail string) {
 	elapsed := time.Since(x.arrived)
-	g.metrics.observeResponseEnd(x, event, elapsed)
-	objectiveMissed := x.route != nil && (x.eventCount == 0 && elapsed > x.route.Objective || x.firstEventLatency > x.route.Objective)
-	if event == "answered" && x.sendCount == 1 && !objectiveMissed && !sampled(x.call.ID) {
+	late := x.lateness(x.route, elapsed)
+	g.metrics.observeResponseEnd(x, event, late, elapsed)
+	if event == "answered" && x.sendCount == 1 && late != lateStart && !sampled(x.call.ID) {
 		return
 	}
 	entry := g.log.Info().Str("event", event).Str("request", x.call.ID).Str("detail", detail).
@@ -52,6 +52,7 @@
 		entry = entry.Str("cause", x.failureCause).Bool("given_up", x.serverGivenUp)
 	}
 	entry.Int("sends", x.sendCount).Int("events", x.eventCount).Int64("first_ms", x.firstEventLatency.Milliseconds()).
+		Int64("longest_pause_ms", x.longestPause.Milliseconds()).Int("priority", x.priority).Str("late", string(late)).
 		Int64("elapsed_ms", elapsed.Milliseconds()).Msg("")
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -91,7 +91,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_server_withdrawals_total{kind=%q}", kind)).Inc()
 }
 
-func (m *gatewayMetrics) observeResponseEnd(x *exchange, event string, elapsed time.Duration) {
+// observeResponseEnd counts a response by how it ended and, if it was late, by what it
+// missed and by the priority of its request.
+func (m *gatewayMetrics) observeResponseEnd(x *exchange, event string, late lateness, elapsed time.Duration) {
+	if late != onTime {
+		m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_late_answers_total{missed=%q,priority=\"%d\"}", late, x.priority)).Inc()
+	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_answers_total{end=%q}", event)).Inc()
 	m.answerSeconds.Histogram(x.organisation, x.serviceName).Update(elapsed.Seconds())
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -133,7 +133,7 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return false
 	}
-	x.recordEvent(ev)
+	x.recordEvent(ev, time.Now())
 	return true
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,6 +38,9 @@
 	// callerRetry is set if the caller was probably refused before and retries:
 	// a part of its time has already been used up.
 	callerRetry bool
+	// priority is that of the route or, if it has one, of the organisation; 0 is the
+	// most urgent.
+	priority int
 	// serverPriority orders the requests waiting at a server; 0 is served first.
 	serverPriority int
 	body           []byte
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -75,7 +75,7 @@
 		return verdict.Refuse(verdict.NoRoute, verdict.NotRun, "no route leads from here")
 	}
 	x.callerRetry = isCallerRetry(x.call.Remaining, x.route.Timeout)
-	priority := x.route.Priority
+	x.priority = x.route.Priority
 	if table.RequiresKey() && !x.route.Public {
 		if !fresh {
 			return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(g.staleDelay())
@@ -86,10 +86,10 @@
 		}
 		x.organisation, x.authenticated = organisation.Name, true
 		if organisation.HasPriority {
-			priority = organisation.Priority
+			x.priority = organisation.Priority
 		}
 	}
-	x.serverPriority = serverPriority(priority, x.callerRetry)
+	x.serverPriority = serverPriority(x.priority, x.callerRetry)
 	x.serviceName = x.route.ChooseService(rand.Float64())
 	x.service = table.Service(x.serviceName)
 	x.deadline = requestDeadline(x.arrived, x.route, x.call.Remaining)
