Repeat an order to prepare a map that a server leaves unanswered

While servers leave a part of the orders unanswered, one of 32 ranks lost the order to prepare a map in each round, and the leader repeats it only each 0.6 s: a switch took seconds in which passes were too long for all streams. The agent beside the server now repeats it after 50 ms, six times at most.

--- a/rankagent/fake_test.go
+++ b/rankagent/fake_test.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	state  groupmap.RankState
 	orders []groupmap.Order
+	// unanswered is the number of next orders that get no answer and no effect.
+	unanswered int
 }
 
 func newFakeEngine(rank, size int, state groupmap.RankState) *fakeEngine {
@@ -41,11 +43,20 @@
 	return HeldExperts{}, errors.New("no experts")
 }
 
-func (e *fakeEngine) Order(_ context.Context, o groupmap.Order) error {
+func (e *fakeEngine) Order(ctx context.Context, o groupmap.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, o)
+	if e.unanswered > 0 {
+		e.unanswered--
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		return ctx.Err()
+	}
 	switch o.Kind {
+	case groupmap.Prepare:
+		e.state.PreparedVersion = o.Version
 	case groupmap.Arm:
 		e.state.ArmedVersion, e.state.ArmedStep = o.Version, o.Step
 	case groupmap.Release:
--- a/rankagent/metrics.go
+++ b/rankagent/metrics.go
@@ -12,6 +12,9 @@
 	set *metrics.Set
 	// switches counts the switches that were started.
 	switches *metrics.Counter
+	// ordersRepeated counts the orders to prepare a map that were repeated because the
+	// local server did not answer.
+	ordersRepeated *metrics.Counter
 	// skew is the skew of the map in use at the last plan, see groupmap.Skew, in
 	// thousandths.
 	skew atomic.Int64
@@ -21,7 +24,10 @@
 
 func newAgentMetrics(a *Agent) *agentMetrics {
 	set := metrics.NewSet()
-	m := &agentMetrics{set: set, switches: set.NewCounter("bluebellwind_map_switches_total")}
+	m := &agentMetrics{
+		set: set, switches: set.NewCounter("bluebellwind_map_switches_total"),
+		ordersRepeated: set.NewCounter("bluebellwind_rank_orders_repeated_total"),
+	}
 	set.NewGauge("bluebellwind_rank_skew", func() float64 { return float64(m.skew.Load()) / 1000 })
 	set.NewGauge("bluebellwind_rank_relative_pass_time", func() float64 { return float64(m.relativePassTime.Load()) / paceUnit })
 	set.NewGauge("bluebellwind_rank_up", func() float64 {
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -102,9 +102,12 @@
 // executeOrder sends one order to a server. If that is the local server, it
 // then reads and sends its status at once. The answer of another server is recorded.
 func (a *Agent) executeOrder(ctx context.Context, engine Engine, o groupmap.Order) {
-	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	err := engine.Order(orderCtx, o)
-	cancel()
+	var err error
+	if engine == a.engine {
+		err = a.orderLocal(ctx, o)
+	} else {
+		err = a.orderOnce(ctx, engine, o, orderTimeout)
+	}
 	a.metrics.countOrder(o.Kind.String(), err)
 	entry := a.log.Info().Str("event", "order").Str("kind", o.Kind.String()).Int("rank", o.Rank).
 		Uint64("epoch", o.Epoch).Uint64("version", o.Version).Uint64("step", o.Step)
