Evacuate zones: send nothing to servers of a zone while operators say so

The follower keeps the evacuated zones with the servers and the position, the directory leaves their servers out of choice, and checkSend looks again before the first byte. Peers get the zones in their replies; replies of builds that know no zones are ignored as a whole. After a restore, lost evacuations end only with a response requested after the settle time. A gateway sends nothing before it knows the zones, and records no proof without them. With bounds.evacuate_ms, nothing is sent on an older proof unless the store is lost.

Where all servers of a service are evacuated, callers get 503, not run, without Retry-After.

The schedules of restores now begin and end evacuations too.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -49,6 +49,10 @@
 	heldBack map[string]heldServer
 	// memberDigest combines the IDs of servers.
 	memberDigest uint64
+	// evacuated holds the evacuated zones. While awaitsEvacuations is set they are not
+	// known, and no server is chosen.
+	evacuated         map[string]bool
+	awaitsEvacuations bool
 }
 
 // heldServer is a published server that is not used before until.
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -123,6 +123,9 @@
 		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
 		t.outdated, t.updatedAt = false, now
 	}
+	if refusal := d.checkEvacuations(&r); refusal != nil {
+		return nil, refusal
+	}
 	excluded := d.serversInGroups(r.AvoidGroups)
 	var expectedWait time.Duration
 	if r.usesEngine() {
@@ -387,7 +390,7 @@
 // limit. The caller holds the lock.
 func (d *Directory) excluded(e *serverState, closed map[string]bool, now time.Time) bool {
 	status, reported := d.statuses[e.Address]
-	return e.health.excluded(now) || d.withdrawals.backoff(&e.Server, now) > 0 || reported && !status.Up || closed[e.Group.Name]
+	return d.evacuated[e.Zone] || e.health.excluded(now) || d.withdrawals.backoff(&e.Server, now) > 0 || reported && !status.Up || closed[e.Group.Name]
 }
 
 // closedGroups returns the groups that accept no requests. A single rank is enough:
--- a/backends/retryafter.go
+++ b/backends/retryafter.go
@@ -14,7 +14,7 @@
 	}
 	closed := d.closedGroups(now)
 	for _, e := range d.servers {
-		if e.Service == service && e.Group.Name != "" && closed[e.Group.Name] {
+		if e.Service == service && !d.evacuated[e.Zone] && e.Group.Name != "" && closed[e.Group.Name] {
 			return d.withJitter(groupRetryAfter, groupRetryJitter)
 		}
 	}
@@ -22,12 +22,12 @@
 }
 
 // shortestBackoff returns after what time the first server of a service takes requests
-// again, if all of them want none for a time; zero otherwise. Servers that leave do not
-// count. The caller holds the lock.
+// again, if all of them want none for a time; zero otherwise. Servers that leave and those
+// in evacuated zones do not count. The caller holds the lock.
 func (d *Directory) shortestBackoff(service string, now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, e := range d.servers {
-		if e.Service != service || e.Draining || d.withdrawals.isLeaving(&e.Server) {
+		if e.Service != service || e.Draining || d.evacuated[e.Zone] || d.withdrawals.isLeaving(&e.Server) {
 			continue
 		}
 		backoff := d.withdrawals.backoff(&e.Server, now)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -12,6 +12,7 @@
 	"bluebellwind.example/backends"
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/internal/clock"
+	"bluebellwind.example/internal/logging"
 )
 
 const (
@@ -74,6 +75,16 @@
 	// newestVersion the highest version that this process has seen anywhere.
 	published     publishedConfig
 	newestVersion int64
+	// evacuations are the evacuated zones at the position zonesAt, which is that of the
+	// servers but is kept if the source has lost its history, so that zones of an older
+	// revision are still told apart. zonesKnown is set once the zones are known to be
+	// complete. loggedZones are those whose evacuation was logged as begun,
+	// unknownZones those that were logged as unknown.
+	evacuations  evacuations
+	zonesAt      position
+	zonesKnown   bool
+	loggedZones  map[string]bool
+	unknownZones logging.Once
 
 	mu sync.Mutex
 	// usingReaders reports whether readers of the zone keep the proof fresh, so
@@ -83,8 +94,9 @@
 	// none failed.
 	lastFailure time.Time
 	// sourceUnreachable is set from a failed call to the source until the next
-	// successful one.
+	// successful one, and failuresInRow counts the failed calls since.
 	sourceUnreachable bool
+	failuresInRow     int
 }
 
 // publishedConfig is the configuration that the source publishes at a position.
@@ -109,7 +121,8 @@
 // NewFollower returns a Follower without a configuration. Run fetches the first
 // one.
 func NewFollower(source Source, directory *backends.Directory, peers PeerAddresses, logger *log.Logger) *Follower {
-	return &Follower{source: source, directory: directory, peers: peers, log: logger, uptime: clock.SinceBoot}
+	directory.AwaitEvacuations()
+	return &Follower{source: source, directory: directory, peers: peers, log: logger, uptime: clock.SinceBoot, loggedZones: make(map[string]bool)}
 }
 
 // Table returns the table of the newest known configuration, or nil if none was
@@ -127,6 +140,15 @@
 // that failed. ErrHistoryGone does not count as a failure.
 func (f *Follower) SourceCalls() (sent, failed int64) { return f.calls.Load(), f.failedCalls.Load() }
 
+// SourceLost reports whether the source cannot be reached. A single failed call does not
+// tell: after the process was suspended, a call from before fails although the source
+// responds.
+func (f *Follower) SourceLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failuresInRow > 1
+}
+
 // Run keeps the follower up to date from the source, or from gateways that read
 // it, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -226,8 +248,14 @@
 	if snapshot.Config == nil && !snapshot.ConfigInvalid {
 		f.published = publishedConfig{}
 	}
-	f.replaceServers(snapshot.Servers, f.removalGrace(time.Now()), "missing")
 	f.at = position{era: snapshot.Era, revision: snapshot.Revision}
+	// Evacuations come first: a new server may be in an evacuated zone.
+	complete := f.eras.settled(sentAt)
+	f.changeEvacuations(f.at, complete, func(e evacuations) {
+		e.replace(snapshot.EvacuatedZones, snapshot.UnreadableEvacuations, complete)
+	})
+	f.replaceServers(snapshot.Servers, f.removalGrace(time.Now()), "missing")
+	f.logZones()
 	f.recordProofOfSource(sentAt)
 	return nil
 }
@@ -249,8 +277,11 @@
 		return nil
 	}
 	f.applyPublished(changes.Config, changes.ConfigInvalid)
-	f.updateServers(changes)
 	f.at.revision = changes.Revision
+	complete := f.eras.settled(sentAt)
+	f.changeEvacuations(f.at, complete, func(e evacuations) { e.apply(changes.Evacuations, complete) })
+	f.updateServers(changes)
+	f.logZones()
 	f.recordProofOfSource(sentAt)
 	return nil
 }
@@ -286,11 +317,13 @@
 }
 
 // recordProof records that the table was the newest configuration at sentAt, a
-// time since the machine booted. A proof older than the known one is ignored.
+// time since the machine booted. A proof older than the known one is ignored, and so is
+// one without the evacuated zones: peers take the zones with the proof. The caller holds
+// applyMu.
 func (f *Follower) recordProof(sentAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table.Load() != nil && int64(sentAt) > f.provenAt.Load() {
+	if f.table.Load() != nil && f.zonesKnown && int64(sentAt) > f.provenAt.Load() {
 		f.provenAt.Store(int64(sentAt))
 	}
 }
@@ -390,6 +423,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastFailure = time.Now()
+	f.failuresInRow++
 	if f.sourceUnreachable {
 		return
 	}
@@ -400,6 +434,7 @@
 func (f *Follower) markSourceReachable() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failuresInRow = 0
 	if !f.sourceUnreachable {
 		return
 	}
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -34,6 +34,14 @@
 	maxServedProofAge = 4 * time.Second
 )
 
+// replyFormat is the format of replies of this build. A build of an older format does not
+// know of evacuated zones, and leaves out parts of the configuration, such as the regions
+// that a route allows.
+const replyFormat = 1
+
+// errOldFormat is returned for the reply of a peer of an older build.
+var errOldFormat = errors.New("discovery: the peer's build is too old to depend on")
+
 // errNoFreshState is returned to a peer if this process has no configuration or
 // no recent proof to serve. Peers receive and log the text.
 var errNoFreshState = errors.New("discovery: nothing is known")
@@ -57,6 +65,7 @@
 	f.applyMu.Lock()
 	table, at, eras, published := f.table.Load(), f.at, f.eras, f.published
 	servers, members := f.directory.Servers(), f.directory.MemberDigest()
+	evacuated := f.evacuations.encode()
 	f.applyMu.Unlock()
 	if table == nil || !ok || age > maxServedProofAge {
 		return nil, errNoFreshState
@@ -64,6 +73,7 @@
 	reply := &discoverypb.Reply{
 		Version: table.Version(), Era: eras.era, Revision: at.revision, AgeUs: age.Microseconds(),
 		EraAgeUs: (f.uptime() - eras.seenAt).Microseconds(), PublishedVersion: published.version,
+		Format: replyFormat, Evacuated: evacuated,
 	}
 	var err error
 	if request.KnownVersion < table.Version() {
@@ -132,8 +142,12 @@
 
 // applyReply applies the configuration and the servers of a peer's reply. It
 // records the peer's proof if both gateways have the same version of the
-// configuration and the peer knows the newest era.
+// configuration, the peer knows the newest era, and its servers and evacuated zones are
+// of a known revision.
 func (f *Follower) applyReply(reply *discoverypb.Reply, sentAt time.Duration, peer string) error {
+	if reply.Format < replyFormat {
+		return errOldFormat
+	}
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	if len(reply.Config) > 0 {
@@ -148,13 +162,17 @@
 	if order == olderEra || table == nil || table.Version() != reply.Version {
 		return nil // The peer has an older version, or its configuration was rejected here.
 	}
-	if err := f.applyServers(reply); err != nil {
+	provenAt := sentAt - time.Duration(reply.AgeUs)*time.Microsecond
+	if err := f.applyServers(reply, provenAt); err != nil {
 		return err
 	}
-	if table.Version() < f.newestVersion {
-		return nil // A newer configuration was rejected here.
+	if table.Version() < f.newestVersion || reply.Revision == 0 {
+		return nil // A newer configuration was rejected here, or the peer has yet to read its servers and zones.
 	}
-	f.recordProof(sentAt - time.Duration(reply.AgeUs)*time.Microsecond)
+	if f.zonesAt != (position{era: reply.Era, revision: reply.Revision}) && !f.eras.settled(provenAt) {
+		return nil // The peer may know a zone that the source has lost, and that was not taken over.
+	}
+	f.recordProof(provenAt)
 	f.mu.Lock()
 	entry := f.log.Debug()
 	if f.sourceUnreachable {
@@ -166,18 +184,27 @@
 	return nil
 }
 
-// applyServers replaces the servers by those of a peer of the same era, unless the
-// peer's revision is older. At the same revision they differ if the grace of a server
-// has ended at the peer. The caller holds applyMu.
-func (f *Follower) applyServers(reply *discoverypb.Reply) error {
-	if reply.Revision < f.at.revision || len(reply.Servers) == 0 {
+// applyServers replaces the servers and the evacuated zones by those of a peer of the
+// same era, unless the peer's revision is older or not known. At the same revision they
+// differ if the grace of a server or of a zone has ended at the peer, or if this process
+// has started after a restore. provenAt is the date of the peer's proof. The caller holds
+// applyMu.
+func (f *Follower) applyServers(reply *discoverypb.Reply, provenAt time.Duration) error {
+	if reply.Revision < f.at.revision || reply.Revision == 0 {
 		return nil
 	}
 	var servers []backends.Server
-	if err := decode(reply.Servers, &servers); err != nil {
-		return err
+	if len(reply.Servers) > 0 {
+		if err := decode(reply.Servers, &servers); err != nil {
+			return err
+		}
+	}
+	f.applyPeerZones(reply, provenAt)
+	if len(reply.Servers) == 0 {
+		return nil
 	}
 	f.replaceServers(servers, f.restoreGrace(), "missing at a peer")
+	f.logZones()
 	if reply.PublishedVersion == 0 {
 		return nil // Without it, the position would not tell what the source publishes.
 	}
--- a/discovery/restore_schedule_test.go
+++ b/discovery/restore_schedule_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -17,7 +19,8 @@
 // The schedules below draw restores of the source from older copies, cuts, frozen and
 // restarted gateways, and late responses, in virtual time. Each version of the
 // configuration revokes a key, so a gateway that takes an older one for the newest
-// would accept a revoked key.
+// would accept a revoked key. Operators also evacuate zones: a gateway that takes its zones
+// for complete although one is missing would send requests there.
 
 const (
 	simGateways = 4
@@ -42,12 +45,18 @@
 )
 
 // simEvent is a change of the source.
-type simEvent struct{ revision, version int64 }
+type simEvent struct {
+	revision, version int64
+	// zone is empty in a change of the configuration.
+	zone ZoneChange
+}
 
 // simState is the state of the source that a copy preserves.
 type simState struct {
 	revision, version int64
 	history           []simEvent
+	// zones are the evacuated zones; the map is replaced at each change.
+	zones map[string]bool
 }
 
 type simCopy struct {
@@ -68,7 +77,18 @@
 func (s *simSource) write(version int64) {
 	s.revision++
 	s.version = version
-	s.history = append(s.history[:len(s.history):len(s.history)], simEvent{s.revision, version})
+	s.history = append(s.history[:len(s.history):len(s.history)], simEvent{revision: s.revision, version: version})
+}
+
+func (s *simSource) writeZone(zone string, evacuated bool) {
+	s.revision++
+	s.zones = maps.Clone(s.zones)
+	delete(s.zones, zone)
+	if evacuated {
+		s.zones[zone] = true
+	}
+	change := ZoneChange{Zone: zone, Evacuated: evacuated}
+	s.history = append(s.history[:len(s.history):len(s.history)], simEvent{revision: s.revision, zone: change})
 }
 
 func (s *simSource) statedEra() int64 {
@@ -79,7 +99,9 @@
 }
 
 func (s *simSource) snapshot() *Snapshot {
-	return &Snapshot{Era: s.statedEra(), Revision: s.revision, Config: newConfig(s.version)}
+	return &Snapshot{
+		Era: s.statedEra(), Revision: s.revision, Config: newConfig(s.version), EvacuatedZones: slices.Sorted(maps.Keys(s.zones)),
+	}
 }
 
 // changes returns nil if the source does not have the revision.
@@ -89,7 +111,11 @@
 	}
 	c := &Changes{Era: s.statedEra(), Revision: s.revision}
 	for _, e := range s.history {
-		if e.revision > after {
+		switch {
+		case e.revision <= after:
+		case e.zone.Zone != "":
+			c.Evacuations = append(c.Evacuations, e.zone)
+		default:
 			c.Config = newConfig(e.version)
 		}
 	}
@@ -105,6 +131,9 @@
 	calmSince time.Duration
 	// usedVersion is the newest version that this incarnation has used.
 	usedVersion int64
+	// usedZones holds when the evacuations that this incarnation has put into effect were
+	// acknowledged.
+	usedZones map[string]time.Duration
 	// sourceCall is set while a call to the source is in progress, incarnation counts
 	// the starts.
 	sourceCall  bool
@@ -123,9 +152,15 @@
 	// of them.
 	acknowledgedAt map[int64]time.Duration
 	newest         int64
+	// evacuatedAt is when the evacuation of each zone that the operators want evacuated
+	// was acknowledged, and evacuatedIn the position at which it was last written.
+	evacuatedAt map[string]time.Duration
+	evacuatedIn map[string]position
 	// sourceCalmSince is when the source was last restored or became reachable.
 	sourceCalmSince time.Duration
-	without         string
+	// end is when the schedule ends, at least simCalm after the last restore.
+	end     time.Duration
+	without string
 	// failure is the first check that failed; empty if none.
 	failure string
 	// tracing says that trace is kept. It slows the schedule down, so it is used only
@@ -186,8 +221,10 @@
 func runSchedule(t *testing.T, seed uint64, tracing bool) *simulation {
 	s := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 10 * time.Second, tracing: tracing,
-		acknowledgedAt: make(map[int64]time.Duration), without: os.Getenv("BBW_WITHOUT"),
+		acknowledgedAt: make(map[int64]time.Duration), evacuatedAt: make(map[string]time.Duration),
+		evacuatedIn: make(map[string]position), without: os.Getenv("BBW_WITHOUT"),
 	}
+	s.source.zones = make(map[string]bool)
 	s.source.era = 1
 	s.source.noEra = s.without == "era"
 	s.publish()
@@ -200,7 +237,8 @@
 	end := s.now + simSpan
 	s.planFaults()
 	s.every(simCopyInterval, end+simCalm, s.keepCopy)
-	for s.failure == "" && s.now < end+simCalm {
+	s.end = end + simCalm
+	for s.failure == "" && s.now < s.end {
 		task := heap.Pop(&s.queue).(simTask)
 		s.now = task.at
 		task.run()
@@ -209,6 +247,8 @@
 		s.require(g.follower.Table() != nil && g.follower.Table().Version() == s.newest, "gateway %d does not use version %d at the end", i, s.newest)
 		age, ok := g.follower.ProofAge()
 		s.require(ok && age <= simMaxProofAge, "gateway %d: the proof is %v old at the end", i, age)
+		zones := g.follower.evacuations.sorted()
+		s.require(slices.Equal(zones, slices.Sorted(maps.Keys(s.evacuatedAt))), "gateway %d: the zones %v are evacuated at the end, wanted %v", i, zones, s.evacuatedAt)
 	}
 	return s
 }
@@ -241,6 +281,9 @@
 			}
 		})
 	}
+	for range 10 + s.rng.IntN(10) {
+		s.after(s.between(0, simSpan), s.changeZone)
+	}
 	for range 2 + s.rng.IntN(2) {
 		s.after(s.between(3*time.Second, simSpan-5*time.Second), s.drill)
 	}
@@ -257,6 +300,46 @@
 	s.log("version %d is acknowledged at revision %d", s.newest, s.source.revision)
 }
 
+// changeZone begins or ends the evacuation of a zone.
+func (s *simulation) changeZone() {
+	if s.source.down {
+		return
+	}
+	zone := []string{"za", "zb", "zc"}[s.rng.IntN(3)]
+	_, evacuated := s.evacuatedAt[zone]
+	s.source.writeZone(zone, !evacuated)
+	s.evacuatedIn[zone] = position{s.source.era, s.source.revision}
+	s.log("zone %s: evacuated %t, acknowledged at revision %d", zone, !evacuated, s.source.revision)
+	if evacuated {
+		delete(s.evacuatedAt, zone)
+		return
+	}
+	s.evacuatedAt[zone] = s.now
+	began := s.now
+	s.after(simConvergence, func() {
+		if at, still := s.evacuatedAt[zone]; !still || at != began || !s.checksZones() || s.source.down || s.sourceCalmSince > began {
+			return
+		}
+		for i, g := range s.gateways {
+			if g.calmSince < began-time.Second {
+				_, inEffect := g.usedZones[zone]
+				s.require(inEffect, "gateway %d does not evacuate zone %s in time", i, zone)
+			}
+		}
+	})
+}
+
+// changeZonesAgain writes the changes of zones again that a restore has lost.
+func (s *simulation) changeZonesAgain() {
+	for _, zone := range []string{"za", "zb", "zc"} {
+		if _, evacuated := s.evacuatedAt[zone]; evacuated != s.source.zones[zone] {
+			s.source.writeZone(zone, evacuated)
+			s.evacuatedIn[zone] = position{s.source.era, s.source.revision}
+			s.log("zone %s: evacuated %t, published again at revision %d", zone, evacuated, s.source.revision)
+		}
+	}
+}
+
 // drill takes the source away for a moment and restores it from an older copy. A
 // second drill may follow at once.
 func (s *simulation) drill() {
@@ -277,6 +360,7 @@
 		s.source.era++
 		s.source.down = false
 		s.sourceCalmSince = s.now
+		s.end = max(s.end, s.now+simCalm)
 		s.log("the source is back in era %d with version %d at revision %d", s.source.era, s.source.version, s.source.revision)
 		s.after(s.between(0, simMaxRewriteDelay), s.publishAgain)
 		if s.chance(0.3) {
@@ -289,7 +373,11 @@
 // after one that preceded it. Other writes may have come first, so that its revision
 // is one that was given out before.
 func (s *simulation) publishAgain() {
-	if s.source.down || s.source.version == s.newest {
+	if s.source.down {
+		return
+	}
+	s.changeZonesAgain()
+	if s.source.version == s.newest {
 		return
 	}
 	for range s.rng.IntN(4) {
@@ -339,6 +427,7 @@
 	g := s.gateways[i]
 	g.follower = newIdleFollower(&s.now)
 	g.usedVersion, g.sourceCall = 0, false
+	g.usedZones = make(map[string]time.Duration)
 	g.incarnation++
 	g.calmSince = s.now
 	incarnation := g.incarnation
@@ -426,9 +515,12 @@
 		if s.without == "era" {
 			reply = &discoverypb.Reply{
 				Version: reply.Version, Revision: reply.Revision, AgeUs: reply.AgeUs, Config: reply.Config, Servers: reply.Servers,
-				PublishedVersion: reply.PublishedVersion,
+				PublishedVersion: reply.PublishedVersion, Format: reply.Format, Evacuated: reply.Evacuated,
 			}
 		}
+		if s.without == "zones-of-peers" {
+			reply.Evacuated = nil
+		}
 		s.deliver(g, s.delay(), func() { s.applied(i, g.follower.applyReply(reply, sentAt, strconv.Itoa(j))) })
 	})
 }
@@ -439,6 +531,9 @@
 	if s.without == "settling" {
 		f.eras.seenAt = -time.Hour
 	}
+	if s.without == "lost-zones" {
+		f.evacuations.dropLost()
+	}
 	version := int64(0)
 	if t := f.Table(); t != nil {
 		version = t.Version()
@@ -447,6 +542,7 @@
 		s.log("gateway %d: version %d, at %+v, proven at %v, error %v", i, version, f.at, time.Duration(f.provenAt.Load()), err)
 	}
 	s.check(i)
+	s.checkZones(i)
 }
 
 // check checks that a gateway did not go back to an older version, and that its proof
@@ -468,6 +564,35 @@
 	}
 }
 
+// checksZones reports whether zones are checked. Without eras or settling, the schedules must
+// be seen to fail by the configuration.
+func (s *simulation) checksZones() bool { return s.without != "era" && s.without != "settling" }
+
+// checkZones checks that a gateway does not lose a zone that is still to be evacuated, and
+// that its proof does not cover an evacuation that it does not know.
+func (s *simulation) checkZones(i int) {
+	if !s.checksZones() {
+		return
+	}
+	g := s.gateways[i]
+	provenAt := time.Duration(g.follower.provenAt.Load())
+	for zone, at := range s.evacuatedAt {
+		_, known := g.follower.evacuations.zones[zone]
+		// Before that position, the gateway may know an earlier evacuation.
+		if in := s.evacuatedIn[zone]; known && g.follower.zonesAt.era == in.era && g.follower.zonesAt.revision >= in.revision {
+			g.usedZones[zone] = at
+		}
+		used, before := g.usedZones[zone]
+		s.require(known || !before || used != at, "gateway %d uses zone %s again, which is evacuated since %v", i, zone, at)
+		s.require(known || provenAt <= at, "gateway %d takes its zones for complete at %v, but zone %s is evacuated since %v", i, provenAt, zone, at)
+	}
+	for zone := range g.usedZones {
+		if _, still := s.evacuatedAt[zone]; !still {
+			delete(g.usedZones, zone)
+		}
+	}
+}
+
 func TestNoRevokedKeyIsAcceptedAfterARestore(t *testing.T) {
 	schedules := 1000
 	if text := os.Getenv("BBW_SEEDS"); text != "" {
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -20,6 +20,10 @@
 	// ConfigInvalid says that the published configuration cannot be decoded.
 	ConfigInvalid bool
 	Servers       []backends.Server
+	// EvacuatedZones are the zones that operators evacuate. UnreadableEvacuations are
+	// zones whose evacuation is published but cannot be decoded: it does not begin, and
+	// one that is in effect does not end.
+	EvacuatedZones, UnreadableEvacuations []string
 	// Era counts how often the source was restored from an older copy. A restore
 	// may lose the latest changes, and revisions of different eras cannot be
 	// compared.
@@ -28,6 +32,12 @@
 	Revision int64
 }
 
+// ZoneChange says that the evacuation of a zone begins or ends.
+type ZoneChange struct {
+	Zone      string
+	Evacuated bool
+}
+
 // Changes holds what was published or withdrawn after a given revision, up to
 // Revision.
 type Changes struct {
@@ -40,6 +50,8 @@
 	// servers that are no longer published.
 	Updated []backends.Server
 	Removed []string
+	// Evacuations are in the order in which they were published.
+	Evacuations []ZoneChange
 	// Era and Revision are as in Snapshot. If Era is not that of the revision from
 	// which the changes were requested, they belong to another history.
 	Era      int64
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,10 @@
 	// MaxProofAge is the maximum age of the proof that the configuration, and
 	// with it a key, is still valid.
 	MaxProofAge time.Duration
+	// MaxZonesAge is the maximum age of the proof that the evacuated zones are known, for
+	// all requests; zero for no limit. While the source cannot be reached, the last known
+	// zones stay in effect whatever their age.
+	MaxZonesAge time.Duration
 	// RetryWindow limits the retries of all gateways together.
 	RetryWindow retry.WindowConfig
 	// DrainDelay is how long a stopping gateway still accepts connections, until
@@ -230,6 +234,17 @@
 	return ok && age <= g.limits.Load().MaxProofAge
 }
 
+// zonesFresh reports whether the evacuated zones are known well enough to send to a
+// server. A process that was suspended may have missed an evacuation.
+func (g *Gateway) zonesFresh() bool {
+	limit := g.limits.Load().MaxZonesAge
+	if limit == 0 || g.follower.SourceLost() {
+		return true
+	}
+	age, ok := g.follower.ProofAge()
+	return ok && age <= limit
+}
+
 // gatewayCount returns the number of gateways among which shared limits are
 // divided.
 func (g *Gateway) gatewayCount() int {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -127,6 +127,10 @@
 // was chosen that it wants no requests.
 var errServerWithdrawn = errors.New("gateway: the server takes no requests any more")
 
+// errZoneEvacuated means that nothing was sent because the evacuation of the server's zone
+// has begun since the server was chosen.
+var errZoneEvacuated = errors.New("gateway: the zone of the server is evacuated")
+
 // beforeSend is called when the connection is open and no byte has been sent. If
 // it returns nil, the request may run from then on.
 func (x *exchange) beforeSend(choice *backends.Choice) error {
@@ -144,22 +148,31 @@
 // checkSend returns an error if the request must not be sent to the server any more.
 // It may be called by any goroutine.
 func (x *exchange) checkSend(choice *backends.Choice) error {
-	if x.authenticated && !x.g.configFresh() {
+	if x.authenticated && !x.g.configFresh() || !x.g.zonesFresh() {
 		return errConfigStale
 	}
 	if x.g.directory.Withdrawn(&choice.Server, time.Now()) {
 		return errServerWithdrawn
 	}
+	if x.g.directory.Evacuated(&choice.Server) {
+		return errZoneEvacuated
+	}
 	return nil
 }
 
+// neverSent reports whether err says that nothing was sent because the server must not be
+// used any more.
+func neverSent(err error) bool {
+	return errors.Is(err, errServerWithdrawn) || errors.Is(err, errZoneEvacuated)
+}
+
 // handleSendError records and classifies an attempt that received no response
 // header.
 func (x *exchange) handleSendError(choice *backends.Choice, err error) attemptOutcome {
 	if errors.Is(err, errConfigStale) {
 		return outcomeConfigStale
 	}
-	if errors.Is(err, errServerWithdrawn) {
+	if neverSent(err) {
 		x.failureCause = err.Error()
 		return outcomeNotRun
 	}
@@ -187,7 +200,7 @@
 // maybeSent reports whether bytes of a request whose sending failed with err may have
 // reached the server.
 func maybeSent(err error) bool {
-	if errors.Is(err, errConfigStale) || errors.Is(err, errServerWithdrawn) {
+	if errors.Is(err, errConfigStale) || neverSent(err) {
 		return false
 	}
 	var sendErr *upstream.Error
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -59,6 +59,10 @@
 	RetryWindowS float64 `yaml:"retry_window_s"`
 	// GraceS bounds how long a process takes to stop, in seconds.
 	GraceS float64 `yaml:"grace_s"`
+	// EvacuateMS bounds how long after the acknowledgement of the evacuation of a zone a
+	// request may still reach its servers, in milliseconds; zero if zones are not
+	// evacuated.
+	EvacuateMS int `yaml:"evacuate_ms"`
 }
 
 // Defaults of Bounds, and the largest GraceS in seconds.
@@ -139,6 +143,8 @@
 	switch {
 	case b.RevokeMS < 0:
 		return &invalidField{"bounds.revoke_ms", "must not be negative"}
+	case b.EvacuateMS < 0:
+		return &invalidField{"bounds.evacuate_ms", "must not be negative"}
 	case b.RetryRatio < 0 || b.RetryRatio > 1:
 		return &invalidField{"bounds.retry_ratio", "must be between 0 and 1"}
 	case b.RetryFree < 0:
@@ -172,6 +178,9 @@
 // RevokeBound returns RevokeMS as a duration.
 func (b Bounds) RevokeBound() time.Duration { return time.Duration(b.RevokeMS) * time.Millisecond }
 
+// EvacuateBound returns EvacuateMS as a duration.
+func (b Bounds) EvacuateBound() time.Duration { return time.Duration(b.EvacuateMS) * time.Millisecond }
+
 // RetryWindow returns RetryWindowS as a duration.
 func (b Bounds) RetryWindow() time.Duration {
 	return time.Duration(b.RetryWindowS * float64(time.Second))
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -41,6 +41,7 @@
 		nodeSettings + "  grace_s: -1\n":            "s.yaml:10: bounds.grace_s",
 		nodeSettings + "server: \"10.0.0.1:\"\n":    "s.yaml:10: server",
 		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:10: bounds.retry_window_s",
+		nodeSettings + "  evacuate_ms: -1\n":        "s.yaml:10: bounds.evacuate_ms",
 		nodeSettings + "  retry_free: -1\n":         "s.yaml:10: bounds.retry_free",
 		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:10: revoke_ms",
 		"name: [\n":                                 "s.yaml:",
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -34,6 +34,9 @@
 	// its key is still valid, see gateway.Limits.MaxProofAge, until it reaches the
 	// backend server.
 	revocationMargin = 500 * time.Millisecond
+	// evacuationMargin is subtracted from the bound on requests to evacuated zones, for the
+	// time from the last check until a request reaches the server.
+	evacuationMargin = 500 * time.Millisecond
 	// retryBudgetReserve is the share of the retry budget that stays unused, in
 	// [0, 1).
 	retryBudgetReserve = 0.2
@@ -164,6 +167,7 @@
 func gatewayLimits(settings *config.Node) gateway.Limits {
 	return gateway.Limits{
 		MaxProofAge: settings.Bounds.RevokeBound() - revocationMargin,
+		MaxZonesAge: max(0, settings.Bounds.EvacuateBound()-evacuationMargin),
 		RetryWindow: retry.WindowConfig{
 			Span:        time.Duration(retryWindowFactor * float64(settings.Bounds.RetryWindow())),
 			Ratio:       settings.Bounds.RetryRatio,
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -133,6 +133,10 @@
 				addAttempt(h, fmt.Sprint("l", i), unsafePath, min(1, time.Duration(i))*(limitGrace+time.Second), func(a *attempt) {})
 			}
 		},
+		"servers of evacuated zones get no new requests": func(h *history) {
+			h.evacuations = []evacuation{{zone: "zone-0", servers: map[string]bool{"app-0": true}, begin: baseTime.Add(-time.Minute), end: baseTime.Add(time.Second)}}
+			addAttempt(h, "x", unsafePath, 0, nil)
+		},
 		"whole responses without length or chunks arrive": func(h *history) {
 			addAttempt(h, "x", unsafePath, 0, func(a *attempt) { a.wholeUnframedAt, a.response.Complete = a.endedAt, false })
 		},
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,9 @@
 	// plain servers under requests, Unframed the number of whole responses without length
 	// and chunks.
 	PartCrashes, RequestCrashes, Unframed int
+	// LastSentToEvacuated is the longest time after the acknowledgement of an evacuation at
+	// which a request reached a server of the zone.
+	LastSentToEvacuated time.Duration
 }
 
 const (
@@ -83,6 +86,7 @@
 	report.Requests, report.Served = r.history.counts()
 	report.PartCrashes, report.RequestCrashes, report.Unframed = r.history.countPartCrashes(), r.history.countRequestCrashes(), r.history.countUnframed()
 	report.MapSwitches = r.history.mapSwitches
+	report.LastSentToEvacuated = r.history.lastSentToEvacuated()
 	return report, r.failureError()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -151,6 +151,32 @@
 	assert.Assert(t, report.Served > report.Requests/2, "the other servers take what these do not")
 }
 
+// TestEvacuatedZoneGetsNoRequests evacuates a zone while gateways, two of each zone of which
+// read the store through others, are killed, stopped and cut off from the store, and the
+// store is restored from a copy that lacks the evacuation.
+func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
+	size := fixedSize(13 * time.Second)
+	size.Gateways = 12
+	dir := logDir(t, t.Name())
+	report, err := runPlan(context.Background(), buildDaemon(t), dir, 1, 0, size, func(r *testbed, _ *rand.Rand) []fault {
+		go heartbeat(t.Context(), r.store, r.plainServers[0].entry)
+		return []fault{
+			{name: "store restored from an older copy", at: 200 * time.Millisecond, duration: 200 * time.Millisecond, inject: r.restoreStore},
+			{name: "link to the store impaired", at: 1800 * time.Millisecond, duration: 3 * time.Second, inject: r.degradeStoreLink(r.gateways[0], linkStalled)},
+			{name: "store restored from an older copy", at: 1900 * time.Millisecond, duration: 5 * time.Second, inject: r.restoreStore},
+			{name: "zone evacuated", at: 2 * time.Second, duration: 9 * time.Second, inject: r.evacuateZone(zone(0))},
+			{name: "gateway stopped and continued", at: 2 * time.Second, duration: 2 * time.Second, inject: r.pauseGateway(r.gateways[1])},
+			{name: "gateway killed", at: 5 * time.Second, duration: 300 * time.Millisecond, inject: r.killGateway(r.gateways[2])},
+			{name: "gateway killed", at: 6700 * time.Millisecond, duration: 300 * time.Millisecond, inject: r.killGateway(r.gateways[3])},
+			{name: "gateway killed", at: 9 * time.Second, duration: 200 * time.Millisecond, inject: r.killGateway(r.gateways[4])},
+		}
+	})
+	assert.NilError(t, err)
+	checkReport(t, report, dir)
+	t.Logf("the last request reached the zone %v after the acknowledgement", report.LastSentToEvacuated)
+	assert.Assert(t, report.Served > report.Requests/2, "the servers of the other zone take the requests")
+}
+
 // TestUnframedResponsesArrive lets all servers answer without length and chunks, and
 // reset or cut some of these responses.
 func TestUnframedResponsesArrive(t *testing.T) {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -74,6 +74,7 @@
 	TicketConflict   Code = "ticket_conflict"
 	Quarantined      Code = "quarantined"
 	Interrupted      Code = "interrupted"
+	ZoneEvacuated    Code = "zone_evacuated"
 	Internal         Code = "internal"
 )
 
