Spend less processor time on waiting for events and on statuses

The profile of the request path showed three costs that serve nothing:

- Silence of a server was looked at 100 ms after each event, which is when the next event comes: a wake-up and a read that finds nothing for each.
It is now first looked at after twice the usual pause of the response, at least 100 ms and at most 250 ms later.
- The Go runtime runs code on as many threads as the machine has cores, or on two if the instance has less than a core, and wakes them for work that one would do.
- Each status searched all servers for its address, 48 times between two requests.
The addresses are collected and searched once.
Means over the statuses of a group use one map entry for each group instead of several for each status, and an event no longer counts the latest 64 requests to its server again.

A stream that stops because its group closed is resumed up to 150 ms later than before.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -35,6 +35,8 @@
 	servers map[string]*serverState
 	// statuses is keyed by address, because an agent knows its server only by address.
 	statuses map[string]Status
+	// changedAddresses are those of statuses that have changed since markAddressesOutdated.
+	changedAddresses map[string]struct{}
 	// groups is keyed by group name, tables by service name.
 	groups map[string]*groupState
 	tables map[string]*serviceTable
@@ -100,6 +102,8 @@
 		groups:   make(map[string]*groupState),
 		tables:   make(map[string]*serviceTable),
 
+		changedAddresses: make(map[string]struct{}),
+
 		withdrawals: newWithdrawals(),
 		limits:      ratelimit.NewRegistry(rng),
 		promised:    make(map[string]time.Time),
@@ -243,9 +247,10 @@
 	for address, s := range d.statuses {
 		if now.Sub(s.ReceivedAt) > statusTTL {
 			delete(d.statuses, address)
-			d.markAddressOutdated(address)
+			d.changedAddresses[address] = struct{}{}
 		}
 	}
+	d.markAddressesOutdated()
 	return expired
 }
 
@@ -289,7 +294,7 @@
 		s.progressAt = old.progressAt
 	}
 	d.statuses[address] = s
-	d.markAddressOutdated(address)
+	d.changedAddresses[address] = struct{}{}
 	return !known || old.Open != s.Open || old.Up != s.Up
 }
 
@@ -406,14 +411,19 @@
 	return d.withdrawals.isLeaving(s) || d.withdrawals.backoff(s, now) > 0
 }
 
-// markAddressOutdated marks the routing tables of all services that have a server
-// at the address as outdated. The caller holds the lock.
-func (d *Directory) markAddressOutdated(address string) {
+// markAddressesOutdated marks the routing tables of all services that have a server at one
+// of the changed addresses as outdated. Many statuses arrive between two requests, so the
+// servers are searched once for all of them. The caller holds the lock.
+func (d *Directory) markAddressesOutdated() {
+	if len(d.changedAddresses) == 0 {
+		return
+	}
 	for _, e := range d.servers {
-		if e.Address == address {
+		if _, changed := d.changedAddresses[e.Address]; changed {
 			d.markOutdated(e.Service)
 		}
 	}
+	clear(d.changedAddresses)
 }
 
 // markOutdated marks the routing table of a service as outdated. The caller holds
--- a/backends/meanstatus.go
+++ b/backends/meanstatus.go
@@ -5,31 +5,38 @@
 // meanStatuses returns for each group, by name, the mean of the statuses of its ranks
 // that are up, with counts rounded up. The caller holds the lock.
 func (d *Directory) meanStatuses() map[string]Status {
-	ranks := make(map[string]int)
-	sums := make(map[string]Status)
+	type groupSum struct {
+		Status
+		ranks int
+	}
+	sums := make(map[string]*groupSum)
 	for _, s := range d.statuses {
 		if !s.Up || s.Group.Name == "" {
 			continue
 		}
 		sum := sums[s.Group.Name]
-		if ranks[s.Group.Name] == 0 || s.ReceivedAt.Before(sum.ReceivedAt) {
+		if sum == nil {
+			sum = &groupSum{Status: Status{ReceivedAt: s.ReceivedAt}}
+			sums[s.Group.Name] = sum
+		}
+		if s.ReceivedAt.Before(sum.ReceivedAt) {
 			sum.ReceivedAt = s.ReceivedAt
 		}
-		ranks[s.Group.Name]++
+		sum.ranks++
 		sum.Running += s.Running
 		sum.Waiting += s.Waiting
 		sum.PassTime += s.PassTime
-		sums[s.Group.Name] = sum
 	}
+	means := make(map[string]Status, len(sums))
 	for name, sum := range sums {
-		n := ranks[name]
-		sum.Up, sum.RelativePassTime = true, 1
-		sum.Running = (sum.Running + n - 1) / n
-		sum.Waiting = (sum.Waiting + n - 1) / n
-		sum.PassTime /= time.Duration(n)
-		sums[name] = sum
+		mean, n := sum.Status, sum.ranks
+		mean.Up, mean.RelativePassTime = true, 1
+		mean.Running = (mean.Running + n - 1) / n
+		mean.Waiting = (mean.Waiting + n - 1) / n
+		mean.PassTime /= time.Duration(n)
+		means[name] = mean
 	}
-	return sums
+	return means
 }
 
 // statusOrMean returns the status of a server or, for a rank without one, the mean of its
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -117,6 +117,7 @@
 		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
 		d.tables[r.ServiceName] = t
 	}
+	d.markAddressesOutdated()
 	if t.outdated || now.Sub(t.updatedAt) > maxViewAge {
 		view := d.routingView(&r, now)
 		t.table.Update(view)
@@ -345,16 +346,23 @@
 // meanRunningPerRank returns the mean number of running requests of the ranks of each
 // group that are up. The caller holds the lock.
 func (d *Directory) meanRunningPerRank() map[string]float64 {
-	meanRunning := make(map[string]float64)
-	rankCounts := make(map[string]float64)
+	type sum struct{ running, ranks int }
+	sums := make(map[string]*sum)
 	for _, s := range d.statuses {
-		if s.Up {
-			meanRunning[s.Group.Name] += float64(s.Running)
-			rankCounts[s.Group.Name]++
+		if !s.Up {
+			continue
+		}
+		group := sums[s.Group.Name]
+		if group == nil {
+			group = &sum{}
+			sums[s.Group.Name] = group
 		}
+		group.running += s.Running
+		group.ranks++
 	}
-	for name := range meanRunning {
-		meanRunning[name] /= rankCounts[name]
+	meanRunning := make(map[string]float64, len(sums))
+	for name, group := range sums {
+		meanRunning[name] = float64(group.running) / float64(group.ranks)
 	}
 	return meanRunning
 }
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -39,6 +39,9 @@
 	Service string `yaml:"service"`
 	// MemoryMB is the memory limit of the process, in megabytes.
 	MemoryMB int `yaml:"memory_mb"`
+	// MaxProcs bounds the threads of a gateway that run Go code at the same time; zero for
+	// the default of the Go runtime.
+	MaxProcs int `yaml:"max_procs"`
 	// LinkMbps is the rate of the instance's link, in megabits per second; zero if not
 	// known.
 	LinkMbps float64 `yaml:"link_mbps"`
@@ -129,6 +132,9 @@
 			return &invalidField{a.field, fmt.Sprintf("%q is not IP:port", a.value)}
 		}
 	}
+	if n.MaxProcs < 0 {
+		return &invalidField{"max_procs", "must not be negative"}
+	}
 	if n.LinkMbps < 0 {
 		return &invalidField{"link_mbps", "must not be negative"}
 	}
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -38,6 +38,7 @@
 		"name: \"gw\"\nmesh: \"10.0.0.1:7180\"\n":   "zone",
 		nodeSettings + "memory_mb: \"plenty\"\n":    "s.yaml:10",
 		nodeSettings + "link_mbps: -1\n":            "s.yaml:10: link_mbps",
+		nodeSettings + "max_procs: -1\n":            "s.yaml:10: max_procs",
 		nodeSettings + "  grace_s: -1\n":            "s.yaml:10: bounds.grace_s",
 		nodeSettings + "server: \"10.0.0.1:\"\n":    "s.yaml:10: server",
 		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:10: bounds.retry_window_s",
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -69,6 +69,7 @@
 	logger := newLogger(settings)
 	defer closeLogger(logger)
 	limitMemory(settings.MemoryMB)
+	limitThreads(settings.MaxProcs)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// backgroundCtx ends when this function returns, so background work continues
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"runtime/debug"
 
 	"github.com/phuslu/log"
@@ -45,3 +46,12 @@
 		debug.SetMemoryLimit(int64(megabytes) << 20 / 100 * memoryLimitPercent)
 	}
 }
+
+// limitThreads bounds the threads that run Go code at the same time, unless the environment
+// does so or maxProcs is zero. An instance with less than a core gains nothing from a second
+// thread, and pays for waking it up.
+func limitThreads(maxProcs int) {
+	if maxProcs > 0 && os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(maxProcs)
+	}
+}
--- a/internal/node/requestpath_test.go
+++ b/internal/node/requestpath_test.go
@@ -204,7 +204,7 @@
 	t.Cleanup(func() { _ = handler.Close() })
 	settings := config.Node{
 		Name: "gateway-0", Zone: "z", Mesh: freePathAddress(t, "udp"), Callers: freePathAddress(t, "tcp"), Ready: freePathAddress(t, "tcp"),
-		Store: l.Addr().String(), MemoryMB: 128, Log: config.Log{Level: config.DefaultLogLevel},
+		Store: l.Addr().String(), MemoryMB: 128, MaxProcs: 1, Log: config.Log{Level: config.DefaultLogLevel},
 		Bounds: config.Bounds{RevokeMS: 5000, RetryRatio: 0.2, RetryFree: 30, RetryWindowS: 10, GraceS: 5},
 	}
 	text, err := yaml.Marshal(settings)
--- a/routing/table.go
+++ b/routing/table.go
@@ -127,7 +127,9 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.history.lastProgress = now
-	c.table.refreshCandidate(c.Server, c.history)
+	if i, ok := c.table.indexByServer[c.Server]; ok {
+		c.table.view.Candidates[i].EntryLoad.LastProgress = now
+	}
 }
 
 // Release records that the request no longer runs on the server. Calls after the
--- a/upstream/patience.go
+++ b/upstream/patience.go
@@ -11,6 +11,13 @@
 	// waitPollInterval is the interval at which Request.KeepWaiting is called during
 	// silence.
 	waitPollInterval = 100 * time.Millisecond
+	// usualPauses times the usual pause of a response is how long a silence in it lasts
+	// before KeepWaiting is called for the first time, from waitPollInterval to
+	// maxFirstPoll. Each call costs a wake-up and a read that finds nothing.
+	usualPauses  = 2
+	maxFirstPoll = 250 * time.Millisecond
+	// pauseWeight is the weight of the latest pause in the usual one.
+	pauseWeight = 4
 	// maxHeadBytes bounds what is read of a server until the header of its answer is
 	// complete, with interim answers and answers to other requests.
 	maxHeadBytes = 256 << 10
@@ -37,9 +44,11 @@
 	// recordProgress does.
 	bytesCount bool
 	// progressed is set until the next read if the silence has ended. It began at
-	// silentSince and keepWaiting was last called at askedAt.
-	progressed           bool
-	silentSince, askedAt time.Time
+	// silentSince and keepWaiting is next called at askAt.
+	progressed         bool
+	silentSince, askAt time.Time
+	// usualPause is the moving average of the silences that have ended.
+	usualPause time.Duration
 	// lost is the error of all reads once it is set: readers of headers pass over errors.
 	lost error
 }
@@ -87,18 +96,17 @@
 		return c.Read(b)
 	}
 	if p.progressed || p.bytesCount {
-		p.silentSince, p.askedAt = time.Now(), time.Now()
-		p.progressed = false
+		p.beginSilence(time.Now())
 	}
 	for {
-		if time.Since(p.askedAt) >= waitPollInterval {
-			p.askedAt = time.Now()
-			if !p.keepWaiting(time.Since(p.silentSince)) {
+		if now := time.Now(); !now.Before(p.askAt) {
+			p.askAt = now.Add(waitPollInterval)
+			if !p.keepWaiting(now.Sub(p.silentSince)) {
 				p.lost = ErrSilent
 				return 0, p.lost
 			}
 		}
-		if err := c.SetReadDeadline(time.Now().Add(waitPollInterval)); err != nil {
+		if err := c.SetReadDeadline(p.askAt); err != nil {
 			return 0, err
 		}
 		n, err := c.Read(b)
@@ -107,3 +115,12 @@
 		}
 	}
 }
+
+// beginSilence begins a silence, which ends the one before.
+func (p *patience) beginSilence(now time.Time) {
+	if !p.silentSince.IsZero() {
+		p.usualPause += (now.Sub(p.silentSince) - p.usualPause) / pauseWeight
+	}
+	p.silentSince, p.progressed = now, false
+	p.askAt = now.Add(min(max(waitPollInterval, usualPauses*p.usualPause), maxFirstPoll))
+}
