Prefer a stable subset of the servers, so that connections are used again

A gateway spread its few requests over all servers, so that a connection was idle for longer than the 4 s for which it was kept, and nearly every request opened one.

Each gateway now prefers 16 of the servers among equally good ones, and among these those to which an idle connection is open. The subsets follow from the order of gateways that the limits of servers use already: each server is in equally many, with its share of each group and zone, and a gateway that comes or goes moves each subset by a server or two. The preference multiplies the weights of the choice, which are zero for a server that is as full as the others will be, so a fuller subset is left. Each server is in four subsets at least; with fewer gateways there are none. Idle connections are kept as long as the server states, up to 30 s, and 4 s if it does not. One that was opened for another start of the server is not used, a failure closes the other idle ones to the server, and a request that may run once still uses only one idle for at most 500 ms.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -442,4 +442,5 @@
 	// groupLoads are the loads of the groups that may be chosen, by group name; nil
 	// for plain services.
 	groupLoads map[string]groupLoad
+	subset     subset
 }
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -71,6 +71,9 @@
 	GatewayCount int
 	// AvoidGroups are the groups in which the request has failed before.
 	AvoidGroups []string
+	// ConnectedAddresses has the addresses of servers to which an idle connection is open
+	// that the request may use.
+	ConnectedAddresses map[string]bool
 }
 
 // usesEngine reports whether the servers are model engines. Plain services report
@@ -119,7 +122,11 @@
 	}
 	d.markAddressesOutdated()
 	if t.outdated || now.Sub(t.updatedAt) > maxViewAge {
+		d.updateSubset(t, r.ServiceName, now)
 		view := d.routingView(&r, now)
+		for i := range view.Candidates {
+			view.Candidates[i].Preferred = t.subset.servers[view.Candidates[i].Server]
+		}
 		t.table.Update(view)
 		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
 		t.outdated, t.updatedAt = false, now
@@ -133,7 +140,10 @@
 		}
 		expectedWait, excluded = admitted.expectedWait, append(excluded, otherServers...)
 	}
-	choice, err := t.table.Pick(routing.Request{PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...)}, now)
+	choice, err := t.table.Pick(routing.Request{
+		PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...),
+		ConnectedServers: d.connectedServers(r.ServiceName, r.ConnectedAddresses),
+	}, now)
 	if err != nil {
 		if after, limited := d.retryAfterLimits(r.ServiceName, now); limited {
 			return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the backend servers limit their requests").WithRetryAfter(after)
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -36,6 +36,9 @@
 	choice     *backends.Choice
 	current    *attempt
 	currentCtx context.Context
+	// reusedConnection is set if the latest response came on a connection that had
+	// carried another request before.
+	reusedConnection bool
 	// attemptEvents is the number of events received in the current attempt.
 	attemptEvents int
 	// failureCause is why the latest attempt failed, for the log.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -92,6 +92,7 @@
 		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups,
 		StartObjective: x.route.Objective, UntilDeadline: x.untilDeadline(),
 		TimeLimit: x.route.Timeout, MaxPause: x.route.PauseObjective, RefusedBefore: x.callerRetry, SentBefore: x.sendCount > 0, GatewayCount: x.g.gatewayCount(),
+		ConnectedAddresses: x.g.pool.IdleServers(x.maxIdle()),
 	}
 	choice, err := x.g.directory.Pick(request, time.Now())
 	if err == nil || len(x.avoidGroups) == 0 {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -51,7 +51,7 @@
 	if event == "broken_off" {
 		entry = entry.Str("cause", x.failureCause).Bool("given_up", x.serverGivenUp)
 	}
-	entry.Int("sends", x.sendCount).Int("events", x.eventCount).Int64("first_ms", x.firstEventLatency.Milliseconds()).
+	entry.Int("sends", x.sendCount).Bool("reused", x.reusedConnection).Int("events", x.eventCount).Int64("first_ms", x.firstEventLatency.Milliseconds()).
 		Int64("elapsed_ms", elapsed.Milliseconds()).Msg("")
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -44,6 +44,7 @@
 	set.NewGauge("bluebellwind_quarantine_held_traits", func() float64 { return float64(g.quarantine.HeldCount(time.Now())) })
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
 	set.NewGauge("bluebellwind_server_connections_opened", func() float64 { return float64(g.pool.DialAttempts()) })
+	set.NewGauge("bluebellwind_server_connections_reused", func() float64 { return float64(g.pool.Reuses()) })
 	return m
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -58,7 +58,7 @@
 // relay relays the response of a server. events reads its stream; nil if nothing has been
 // read of it. mayHaveRunBefore says whether the request may have run at another server.
 func (x *exchange) relay(choice *backends.Choice, response *upstream.Response, events *eventReader, mayHaveRunBefore bool) attemptOutcome {
-	x.attemptEvents = 0
+	x.attemptEvents, x.reusedConnection = 0, response.Reused
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	x.g.recordWithdrawal(choice, response.Status, metadata)
 	if metadata.NotRun {
@@ -99,19 +99,17 @@
 	}
 	x.g.headerCodec.SetRequestHeaders(h, metadata)
 	req := &upstream.Request{
-		Address:     choice.Address,
-		Method:      x.r.Method,
-		Target:      x.r.RequestURI,
-		Host:        x.r.Host,
-		Header:      h,
-		Body:        x.body,
-		MaxIdle:     maxIdleRepeatable,
-		Matches:     func(h http.Header) bool { return x.g.headerCodec.MatchesRequest(h, x.call.ID) },
-		BeforeSend:  func() error { return x.beforeSend(choice) },
-		KeepWaiting: x.waitPolicy(choice),
-	}
-	if !x.route.Repeatable() {
-		req.MaxIdle = maxIdleNonRepeatable
+		Address:       choice.Address,
+		ServerStarted: choice.Started,
+		Method:        x.r.Method,
+		Target:        x.r.RequestURI,
+		Host:          x.r.Host,
+		Header:        h,
+		Body:          x.body,
+		MaxIdle:       x.maxIdle(),
+		Matches:       func(h http.Header) bool { return x.g.headerCodec.MatchesRequest(h, x.call.ID) },
+		BeforeSend:    func() error { return x.beforeSend(choice) },
+		KeepWaiting:   x.waitPolicy(choice),
 	}
 	if x.service != nil && x.service.MaxConnections > 0 {
 		req.MaxConnections = max(minConnectionsPerServer, x.service.MaxConnections/x.g.gatewayCount())
@@ -119,6 +117,14 @@
 	return req
 }
 
+// maxIdle returns how long a connection that the request uses may have been idle.
+func (x *exchange) maxIdle() time.Duration {
+	if x.route.Repeatable() {
+		return maxIdleRepeatable
+	}
+	return maxIdleNonRepeatable
+}
+
 // errConfigStale means that nothing was sent because the proof that the
 // configuration is current is missing or too old.
 var errConfigStale = errors.New("gateway: the configuration is not proved fresh")
--- a/ratelimit/registry.go
+++ b/ratelimit/registry.go
@@ -161,6 +161,10 @@
 	}
 }
 
+// Position returns the position of this gateway among those that may send, and their number.
+// The order is the same in all gateways that know the same ones.
+func (r *Registry) Position(now time.Time) (position, gateways int) { return r.fleet.order(now) }
+
 // Limited reports whether a limit of the server applies.
 func (r *Registry) Limited(s Server) bool { return r.limits[s].applies() }
 
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bluebellwind.example/verdict"
@@ -20,6 +21,12 @@
 	// outlierBacklogFactor times the mean backlog is the limit above which a
 	// backlog is not explained by random variation and does not decay.
 	outlierBacklogFactor = 4
+	// preferredFactor is the factor by which the weight of a preferred server is
+	// increased. A server whose backlog reaches the common level still gets nothing.
+	preferredFactor = 16
+	// connectedCredit is how many choices a server may get before its share because
+	// an idle connection to it is open.
+	connectedCredit = 1
 	// maxLevelIterations bounds the iterations that compute the common backlog
 	// level. The computation usually converges sooner.
 	maxLevelIterations = 32
@@ -55,7 +62,8 @@
 	}
 	p.decayBacklogs()
 	p.waterFill(p.expectedArrivals())
-	i := p.preferPrefixHit(v, r, p.nextByCredit(v))
+	p.raisePreferred(v)
+	i := p.preferPrefixHit(v, r, p.nextByCredit(v, r))
 	v.Candidates[i].EntryLoad.Credit--
 	return i, nil
 }
@@ -144,16 +152,27 @@
 	}
 }
 
+// raisePreferred increases the weights of the preferred servers. All entries together still
+// send each server its share, because each server is preferred by equally many.
+func (p *Picker) raisePreferred(v *View) {
+	for i := range p.estimates {
+		if v.Candidates[i].Preferred {
+			p.estimates[i].weight *= preferredFactor
+		}
+	}
+}
+
 // nextByCredit adds each server's share of this choice to its credit and
-// returns the server with the highest credit. Over many choices this follows
-// the shares more evenly than random selection. The initial credits are random,
-// so that entries choose in different orders.
-func (p *Picker) nextByCredit(v *View) CandidateIndex {
+// returns the server with the highest credit, where an idle connection counts as
+// connectedCredit. Over many choices this follows the shares more evenly than random
+// selection. The initial credits are random, so that entries choose in different
+// orders.
+func (p *Picker) nextByCredit(v *View, r *Request) CandidateIndex {
 	var total float64
 	for i := range p.estimates {
 		total += p.estimates[i].weight
 	}
-	best := CandidateIndex(-1)
+	best, bestCredit := CandidateIndex(-1), 0.0
 	for i := range p.estimates {
 		w := p.estimates[i].weight
 		if w == 0 {
@@ -164,8 +183,12 @@
 			load.Credit = p.rng.Float64()
 		}
 		load.Credit = min(maxCredit, load.Credit+w/total)
-		if best < 0 || load.Credit > v.Candidates[best].EntryLoad.Credit {
-			best = CandidateIndex(i)
+		credit := load.Credit
+		if slices.Contains(r.ConnectedServers, v.Candidates[i].Server) {
+			credit += connectedCredit
+		}
+		if best < 0 || credit > bestCredit {
+			best, bestCredit = CandidateIndex(i), credit
 		}
 	}
 	if best < 0 {
--- a/routing/view.go
+++ b/routing/view.go
@@ -65,6 +65,10 @@
 	// faulty; neither gets new requests.
 	Draining bool
 	Excluded bool
+	// Preferred servers are those of this entry's subset: among equally good servers they
+	// get more of its requests, so that its connections are used again. Each server must
+	// be preferred by equally many entries.
+	Preferred bool
 	// ZonePenalty is the cost of using a server outside the entry's own
 	// availability zone, zero within the zone. It is added to the time that the
 	// server needs to clear its backlog.
@@ -119,6 +123,8 @@
 	PromptTokens int
 	// Hints are the servers that may hold a prefix of the prompt.
 	Hints []Hint
+	// ConnectedServers are the servers to which this entry holds an idle connection.
+	ConnectedServers []string
 	// ExcludedServers are the servers that were already tried and must not be chosen
 	// again.
 	ExcludedServers []string
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -23,11 +23,18 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel closes the connection.
 	unackedTimeout = 1200 * time.Millisecond
-	// idleTimeout is how long an unused connection is kept open.
+	// idleTimeout is how long an unused connection is kept open if the server does not
+	// state its own timeout.
 	idleTimeout = 4 * time.Second
+	// maxIdleTimeout is how long an unused connection is kept open if the server states a
+	// longer timeout. Each costs this process some 10 KB.
+	maxIdleTimeout = 30 * time.Second
 	// keepAliveMargin is how long before a server's own idle timeout a connection
 	// is no longer used, so that no request is sent while the server closes it.
 	keepAliveMargin = 500 * time.Millisecond
+	// maxKeepAliveSeconds bounds the timeout that a server states, so that it fits into a
+	// duration.
+	maxKeepAliveSeconds = 3600
 	// maxIdlePerServer bounds the number of idle connections to one server.
 	maxIdlePerServer = 16
 	readBufferBytes  = 4 << 10
@@ -45,6 +52,7 @@
 	mu           sync.Mutex
 	servers      map[string]*serverConns
 	dialAttempts int64
+	reuses       int64
 }
 
 // serverConns tracks the connections to one server; openCount includes the idle ones
@@ -56,12 +64,16 @@
 
 type conn struct {
 	net.Conn
-	address   string
-	reader    *bufio.Reader
-	writer    *bufio.Writer
-	idleSince time.Time
+	address string
+	// serverStarted is Request.ServerStarted of the request for which it was opened.
+	serverStarted int64
+	reader        *bufio.Reader
+	writer        *bufio.Writer
+	idleSince     time.Time
 	// idleLimit is how long the connection may stay idle.
 	idleLimit time.Duration
+	// reused says that the connection has carried another request before.
+	reused bool
 	// patience bounds what is read from the server.
 	patience patience
 }
@@ -81,6 +93,54 @@
 	return p.dialAttempts
 }
 
+// Reuses returns how many requests were sent on a connection that had been used before.
+func (p *Pool) Reuses() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reuses
+}
+
+func (p *Pool) countReuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reuses++
+}
+
+// IdleServers returns the addresses of the servers to which a connection is open that has
+// been idle for at most maxIdle and may still be used.
+func (p *Pool) IdleServers(maxIdle time.Duration) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	addresses := make(map[string]bool)
+	for address, s := range p.servers {
+		if len(s.idle) == 0 {
+			continue
+		}
+		latest := s.idle[len(s.idle)-1]
+		if idle := now.Sub(latest.idleSince); idle < latest.idleLimit && idle <= maxIdle {
+			addresses[address] = true
+		}
+	}
+	return addresses
+}
+
+// closeIdleTo closes the idle connections to a server to which one has just failed: it may
+// have restarted or become unreachable without closing them.
+func (p *Pool) closeIdleTo(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[address]
+	if s == nil {
+		return
+	}
+	for _, c := range s.idle {
+		c.Close()
+		s.openCount--
+	}
+	s.idle = nil
+}
+
 // Refuses reports whether the address refuses connections. An error means that this is
 // not known.
 func (p *Pool) Refuses(ctx context.Context, address string) (bool, error) {
@@ -120,18 +180,19 @@
 	}
 }
 
-// acquire returns a connection that has been idle for at most maxIdle, or opens a
-// new one. maxOpen bounds the open connections to the server; 0 means no bound.
-func (p *Pool) acquire(ctx context.Context, address string, maxIdle time.Duration, maxOpen int) (*conn, error) {
+// acquire returns a connection that has been idle for at most r.MaxIdle, or opens a new
+// one.
+func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c, err := p.reuseOrReserve(address, maxIdle, maxOpen)
+		c, err := p.reuseOrReserve(r)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, r)
 		}
 		if c.usable() {
+			c.reused = true
 			return c, nil
 		}
 		p.discard(c)
@@ -140,31 +201,32 @@
 
 // reuseOrReserve returns an idle connection. A nil connection without an error
 // means that the caller may open a new one, which is already counted as open.
-func (p *Pool) reuseOrReserve(address string, maxIdle time.Duration, maxOpen int) (*conn, error) {
+func (p *Pool) reuseOrReserve(r *Request) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.servers[address]
+	s := p.servers[r.Address]
 	if s == nil {
 		s = &serverConns{}
-		p.servers[address] = s
+		p.servers[r.Address] = s
 	}
 	now := time.Now()
 	for len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
 		idle := now.Sub(c.idleSince)
-		if idle < c.idleLimit && idle <= maxIdle {
+		sameServer := c.serverStarted == r.ServerStarted
+		if sameServer && idle < c.idleLimit && idle <= r.MaxIdle {
 			s.idle[len(s.idle)-1] = nil
 			s.idle = s.idle[:len(s.idle)-1]
 			return c, nil
 		}
-		if idle < c.idleLimit && (maxOpen == 0 || s.openCount < maxOpen) {
+		if sameServer && idle < c.idleLimit && (r.MaxConnections == 0 || s.openCount < r.MaxConnections) {
 			break // Kept for requests that allow older idle connections.
 		}
 		s.idle = s.idle[:len(s.idle)-1]
 		c.Close()
 		s.openCount--
 	}
-	if maxOpen > 0 && s.openCount >= maxOpen {
+	if r.MaxConnections > 0 && s.openCount >= r.MaxConnections {
 		return nil, ErrBusy
 	}
 	s.openCount++
@@ -172,13 +234,15 @@
 	return nil, nil
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+func (p *Pool) dial(ctx context.Context, r *Request) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
-		p.decrementOpen(address)
+		p.decrementOpen(r.Address)
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: address, writer: bufio.NewWriterSize(raw, writeBufferBytes), idleLimit: idleTimeout}
+	c := &conn{
+		Conn: raw, address: r.Address, serverStarted: r.ServerStarted, writer: bufio.NewWriterSize(raw, writeBufferBytes), idleLimit: idleTimeout,
+	}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -245,7 +309,7 @@
 }
 
 // applyKeepAlive sets idleLimit from the idle timeout that the server states in its
-// Keep-Alive header, less keepAliveMargin and at most idleTimeout.
+// Keep-Alive header, less keepAliveMargin and at most maxIdleTimeout.
 func (c *conn) applyKeepAlive(h http.Header) {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
@@ -253,7 +317,7 @@
 		if name != "timeout" || err != nil {
 			continue
 		}
-		c.idleLimit = max(0, min(idleTimeout, time.Duration(seconds)*time.Second-keepAliveMargin))
+		c.idleLimit = max(0, min(maxIdleTimeout, time.Duration(min(seconds, maxKeepAliveSeconds))*time.Second-keepAliveMargin))
 	}
 }
 
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -29,7 +29,11 @@
 type Request struct {
 	// Address is the IP:port of the server.
 	Address string
-	Method  string
+	// ServerStarted is when the server started, in any unit. A connection that was opened
+	// for another start of it is not used again: if its host was lost, the server has
+	// not closed it.
+	ServerStarted int64
+	Method        string
 	// Target is the path and query in the form in which the caller sent them.
 	Target string
 	Host   string
@@ -61,6 +65,8 @@
 	Header http.Header
 	// Length is the size of the body in bytes, or -1 if the server does not state it.
 	Length int64
+	// Reused says that the connection had carried another request before.
+	Reused bool
 
 	body io.ReadCloser
 	conn *conn
@@ -82,7 +88,7 @@
 // The error is an *Error, or the error of Request.BeforeSend. The connection is
 // closed as soon as ctx ends.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.Address, r.MaxIdle, r.MaxConnections)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return nil, &Error{Op: "dial", Err: err}
 	}
@@ -92,6 +98,9 @@
 			return nil, err
 		}
 	}
+	if c.reused {
+		p.countReuse()
+	}
 	c.patience = headPatience(r.KeepWaiting)
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	response, failure := p.roundTrip(c, r)
@@ -101,6 +110,8 @@
 		p.discard(c)
 		if ctx.Err() != nil {
 			failure.Err = errors.Join(ctx.Err(), failure.Err)
+		} else {
+			p.closeIdleTo(r.Address)
 		}
 		return nil, failure
 	}
@@ -127,6 +138,7 @@
 		Status:      resp.StatusCode,
 		Header:      resp.Header,
 		Length:      resp.ContentLength,
+		Reused:      c.reused,
 		body:        body,
 		conn:        c,
 		pool:        p,
