--- a/backends/pick.go
+++ b/backends/pick.go
@@ -71,6 +71,9 @@
 	GatewayCount int
 	// AvoidGroups are the groups in which the request has failed before.
 	AvoidGroups []string
+	// ConnectedAddresses has the addresses of servers to which an idle connection is open
+	// that the request may use.
+	ConnectedAddresses map[string]bool
 }
 
 // usesEngine reports whether the servers are model engines. Plain services report
@@ -117,8 +120,13 @@
 		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
 		d.tables[r.ServiceName] = t
 	}
+	d.markAddressesOutdated()
 	if t.outdated || now.Sub(t.updatedAt) > maxViewAge {
+		d.updateSubset(t, r.ServiceName, now)
 		view := d.routingView(&r, now)
+		for i := range view.Candidates {
+			view.Candidates[i].Preferred = t.subset.servers[view.Candidates[i].Server]
+		}
 		t.table.Update(view)
 		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
 		t.outdated, t.updatedAt = false, now
@@ -135,7 +143,10 @@
 		}
 		expectedWait, excluded = admitted.expectedWait, append(excluded, otherServers...)
 	}
-	choice, err := t.table.Pick(routing.Request{PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...)}, now)
+	choice, err := t.table.Pick(routing.Request{
+		PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...),
+		ConnectedServers: d.connectedServers(r.ServiceName, r.ConnectedAddresses),
+	}, now)
 	if err != nil {
 		if after, limited := d.retryAfterLimits(r.ServiceName, now); limited {
 			return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the backend servers limit their requests").WithRetryAfter(after)
@@ -348,16 +359,23 @@
 // meanRunningPerRank returns the mean number of running requests of the ranks of each
 // group that are up. The caller holds the lock.
 func (d *Directory) meanRunningPerRank() map[string]float64 {
-	meanRunning := make(map[string]float64)
-	rankCounts := make(map[string]float64)
+	type sum struct{ running, ranks int }
+	sums := make(map[string]*sum)
 	for _, s := range d.statuses {
-		if s.Up {
-			meanRunning[s.Group.Name] += float64(s.Running)
-			rankCounts[s.Group.Name]++
+		if !s.Up {
+			continue
+		}
+		group := sums[s.Group.Name]
+		if group == nil {
+			group = &sum{}
+			sums[s.Group.Name] = group
 		}
+		group.running += s.Running
+		group.ranks++
 	}
-	for name := range meanRunning {
-		meanRunning[name] /= rankCounts[name]
+	meanRunning := make(map[string]float64, len(sums))
+	for name, group := range sums {
+		meanRunning[name] = float64(group.running) / float64(group.ranks)
 	}
 	return meanRunning
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -45,6 +45,7 @@
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
 	set.NewGauge("bluebellwind_evacuated_zones", func() float64 { return float64(len(g.directory.EvacuatedZones())) })
 	set.NewGauge("bluebellwind_server_connections_opened", func() float64 { return float64(g.pool.DialAttempts()) })
+	set.NewGauge("bluebellwind_server_connections_reused", func() float64 { return float64(g.pool.Reuses()) })
 	return m
 }
 
