Cold servers: budget of requests in any second for each server

Servers that became cold at once crashed under the requests of all gateways together, since nothing counted them. Each gateway takes permits for the requests to a server; the permits of all gateways add up to the bound, without messages. A permit is in use until a second after the server has answered.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -44,6 +44,8 @@
 	// the latest time at which a caller was told to retry because of them.
 	limits   *ratelimit.Registry
 	promised map[string]time.Time
+	// cold knows the servers that are cold.
+	cold cold
 	// heldBack holds, by ID, the servers that a restored source publishes again
 	// although they were removed before.
 	heldBack map[string]heldServer
@@ -67,6 +69,9 @@
 	// load is what the server stated in the response received at loadAt.
 	load   Load
 	loadAt time.Time
+	// closedByBudget says that the budget of the server was the only reason to exclude it
+	// from the latest view.
+	closedByBudget bool
 }
 
 // groupState is what this process knows about one group of ranks.
@@ -103,6 +108,7 @@
 		withdrawals: newWithdrawals(),
 		limits:      ratelimit.NewRegistry(rng),
 		promised:    make(map[string]time.Time),
+		cold:        newCold(zone),
 		heldBack:    make(map[string]heldServer),
 	}
 }
@@ -121,6 +127,9 @@
 		e = &serverState{}
 		d.servers[s.ID] = e
 		d.memberDigest ^= hashID(s.ID)
+		d.cold.published(&s, nil, now)
+	} else {
+		d.cold.published(&s, &e.Server, now)
 	}
 	e.Server = s
 	e.expiresAt = time.Time{}
@@ -134,6 +143,7 @@
 	delete(d.servers, e.ID)
 	d.memberDigest ^= hashID(e.ID)
 	d.withdrawals.markRemoved(&e.Server, now)
+	d.cold.removed(e.ID)
 	d.markOutdated(e.Service)
 }
 
@@ -240,6 +250,7 @@
 		return e != nil && e.incarnation() == i
 	})
 	d.limits.Expire(now)
+	d.cold.expire(now)
 	for address, s := range d.statuses {
 		if now.Sub(s.ReceivedAt) > statusTTL {
 			delete(d.statuses, address)
@@ -432,4 +443,6 @@
 	// groupLoads are the loads of the groups that may be chosen, by group name; nil
 	// for plain services.
 	groupLoads map[string]groupLoad
+	// candidates are those of the view at the last update.
+	candidates []routing.Candidate
 }
--- a/backends/limits.go
+++ b/backends/limits.go
@@ -13,14 +13,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limits.SetSelf(id)
+	d.cold.budgets.SetSelf(id)
 }
 
 // SetGatewayAlive records whether another gateway that sends to the same servers is heard
-// of.
-func (d *Directory) SetGatewayAlive(id string, alive bool, now time.Time) {
+// of, and its zone.
+func (d *Directory) SetGatewayAlive(id, zone string, alive bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limits.SetAlive(id, alive, now)
+	d.cold.budgets.SetAlive(id, zone, alive, now)
 }
 
 // RecordLimit records what a response of the chosen server, which arrived now, states about
@@ -97,7 +99,7 @@
 }
 
 // retryAfterLimits returns after what time a caller that no server can take should retry
-// because of the limits of servers: each caller is told the time of another request that
+// because of the limits of servers or of the budgets of cold ones: each caller is told the time of another request that
 // this gateway may send. ok is false if limits are not the reason. The caller holds the
 // lock.
 func (d *Directory) retryAfterLimits(service string, now time.Time) (after time.Duration, ok bool) {
@@ -108,11 +110,11 @@
 		if e.Service != service || e.Draining || d.withdrawals.isLeaving(&e.Server) || d.excluded(e, closed, now) {
 			continue
 		}
-		next, interval, sends := d.limits.Next(e.limitKey())
-		if !sends || !next.After(now) {
+		next, rate := d.nextSend(e, now)
+		if !next.After(now) {
 			continue
 		}
-		perSecond += 1 / interval.Seconds()
+		perSecond += rate
 		if first.IsZero() || next.Before(first) {
 			first = next
 		}
@@ -127,3 +129,16 @@
 	d.promised[service] = first
 	return first.Sub(now), true
 }
+
+// nextSend returns when this gateway may next send a request to a server that it may send none
+// now because of its limit or budget, and how many a second. The time is zero if neither is the
+// reason. The caller holds the lock.
+func (d *Directory) nextSend(e *serverState, now time.Time) (at time.Time, perSecond float64) {
+	if next, interval, sends := d.limits.Next(e.limitKey()); sends {
+		at, perSecond = next, 1/interval.Seconds()
+	}
+	if next, budgeted := d.cold.budgets.Next(e.ID, now); budgeted && next.After(at) {
+		at, perSecond = next, 1
+	}
+	return at, perSecond
+}
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bluebellwind.example/ingress"
+	"bluebellwind.example/ratelimit"
 	"bluebellwind.example/routing"
 	"bluebellwind.example/verdict"
 )
@@ -67,6 +68,8 @@
 	// RefusedBefore says that the caller retries after a refusal. SentBefore says
 	// that a server may already have received the request.
 	RefusedBefore, SentBefore bool
+	// Priority orders requests; 0 is the most urgent.
+	Priority int
 	// GatewayCount is the number of gateways that send to the same servers.
 	GatewayCount int
 	// AvoidGroups are the groups in which the request has failed before.
@@ -89,7 +92,9 @@
 	ExpectedWait time.Duration
 
 	// pickedAt is when the server was chosen.
-	pickedAt  time.Time
+	pickedAt time.Time
+	// permit counts the request against the budget of the server; nil if it has none.
+	permit    *ratelimit.Permit
 	routed    *routing.Choice
 	directory *Directory
 	group     *groupState
@@ -101,6 +106,9 @@
 	c.directory.mu.Lock()
 	defer c.directory.mu.Unlock()
 	c.group.inFlight--
+	if !c.permit.Sent() {
+		c.directory.cold.budgets.Return(c.ID, c.permit)
+	}
 }
 
 // RecordProgress records that the server sent data at the given time.
@@ -121,9 +129,10 @@
 		view := d.routingView(&r, now)
 		t.table.Update(view)
 		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
+		t.candidates = view.Candidates
 		t.outdated, t.updatedAt = false, now
 	}
-	excluded := d.serversInGroups(r.AvoidGroups)
+	excluded := append(d.serversInGroups(r.AvoidGroups), d.coldServersToAvoid(&r, t, now)...)
 	var expectedWait time.Duration
 	if r.usesEngine() {
 		admitted, otherServers, err := d.admit(&r, t, now)
@@ -147,13 +156,17 @@
 		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").WithRetryAfter(plainRetryAfter)
 	}
 	d.takeLimit(&e.Server, now)
+	permit := d.cold.budgets.Take(e.ID, now)
+	if permit != nil && !d.cold.budgets.Open(e.ID, now) {
+		t.table.Exclude(e.ID)
+	}
 	g := d.ensureGroup(e.Group.Name)
 	g.inFlight++
 	g.meter.record(now)
 	status := d.statuses[e.Address]
 	return &Choice{
 		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.ReceivedAt), ExpectedWait: expectedWait,
-		pickedAt: now, routed: choice, directory: d, group: g,
+		pickedAt: now, permit: permit, routed: choice, directory: d, group: g,
 	}, nil
 }
 
@@ -232,10 +245,10 @@
 	rankCounts, statuslessCounts := make(map[string]int), make(map[string]int)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Draining || c.Excluded {
-			continue
-		}
 		e := d.servers[c.Server]
+		if c.Draining || c.Excluded && !e.closedByBudget {
+			continue // The slots of a server whose budget is used up for a moment count.
+		}
 		name := e.Group.Name
 		load := out[name]
 		rankCounts[name]++
@@ -286,6 +299,7 @@
 		d.updatePassTimes(r.ServiceName, e, now)
 	}
 	d.updateLimits(r.ServiceName, now)
+	d.updateColdBudgets(r, now)
 	closed := d.closedGroups(now)
 	stalled := d.stalledGroups()
 	medians := d.medianPassTimes()
@@ -305,6 +319,10 @@
 			}
 			c.Load.StepTime = status.PassTime / time.Duration(max(1, r.Service.Engine.Stride))
 		}
+		if d.cold.remaining(id, r.Service, now) > 0 && r.Service.ColdPerSecond > 0 {
+			c.ZonePenalty += coldPenalty
+			c.Load.Slots = max(min(1, c.Load.Slots), int(coldSlotShare*float64(c.Load.Slots)))
+		}
 		v.Candidates = append(v.Candidates, c)
 	}
 	return v
@@ -369,6 +387,8 @@
 		Excluded: d.excluded(e, closed, now) || !d.limits.Open(e.limitKey(), now),
 		Load:     routing.Load{MeasuredAt: now, Slots: max(1, e.Slots), Running: e.load.Running},
 	}
+	e.closedByBudget = !c.Excluded && !d.cold.budgets.Open(id, now)
+	c.Excluded = c.Excluded || e.closedByBudget
 	if e.Zone != d.zone {
 		c.ZonePenalty = crossZonePenalty
 	}
--- a/backends/server.go
+++ b/backends/server.go
@@ -19,6 +19,9 @@
 	Slots int
 	// Draining servers get no new requests.
 	Draining bool
+	// ColdRemaining is for how long the server stays cold, as its entry stated when it
+	// arrived; zero if it does not say so.
+	ColdRemaining time.Duration
 	// Group identifies the group of a rank; its name is empty for other servers.
 	// Open says that the group accepts requests.
 	Group Group
--- a/gateway/format.go
+++ b/gateway/format.go
@@ -69,7 +69,11 @@
 	// RequestLimit is how many requests a second the server takes from all gateways
 	// together; nil if not stated.
 	RequestLimit *float64
-	// Malformed names a header that could not be read and was ignored; empty if
+	// ColdRemaining is for how long the server stays cold; zero if not stated.
+	ColdRemaining time.Duration
+	// MalformedCold names the header with ColdRemaining if it could not be read.
+	MalformedCold string
+	// Malformed names another header that could not be read and was ignored; empty if
 	// there was none.
 	Malformed string
 	// HasSeal is set if the response carries the seal of a backend server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	MaxProofAge time.Duration
 	// RetryWindow limits the retries of all gateways together.
 	RetryWindow retry.WindowConfig
+	// Cold bounds the requests that reach cold servers; nil if servers are never cold.
+	Cold *backends.ColdBound
 	// DrainDelay is how long a stopping gateway still accepts connections, until
 	// the platform has noticed that it is not ready.
 	DrainDelay time.Duration
@@ -108,11 +110,13 @@
 	log         *log.Logger
 	metrics     *gatewayMetrics
 	malformed   malformedLog
-	quarantine  *quarantine.Registry
-	attempts    attemptSet
-	limits      atomic.Pointer[Limits]
-	callerConns *callerconn.Set
-	draining    atomic.Bool
+	// malformedCold is apart from malformed, because each is logged once for a server.
+	malformedCold malformedLog
+	quarantine    *quarantine.Registry
+	attempts      attemptSet
+	limits        atomic.Pointer[Limits]
+	callerConns   *callerconn.Set
+	draining      atomic.Bool
 	// drainEnd is when requests are ended; nil until no more connections are accepted.
 	drainEnd atomic.Pointer[time.Time]
 	// ending is canceled when the requests that are still open must be answered at
@@ -153,6 +157,9 @@
 func (g *Gateway) Reload(limits Limits) {
 	g.limits.Store(&limits)
 	g.retryBudget.Configure(limits.RetryWindow)
+	if limits.Cold != nil {
+		g.directory.SetColdBound(*limits.Cold)
+	}
 	g.log.Info().Str("event", "bounds_reloaded").Msg("")
 }
 
@@ -220,7 +227,7 @@
 
 // ready reports whether the gateway should receive new connections.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.follower.Table() != nil && g.configFresh()
+	return !g.draining.Load() && !g.directory.Joining(time.Now()) && g.follower.Table() != nil && g.configFresh()
 }
 
 // configFresh reports whether the proof that the configuration is current is
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -43,6 +43,14 @@
 	})
 	set.NewGauge("bluebellwind_quarantine_held_traits", func() float64 { return float64(g.quarantine.HeldCount(time.Now())) })
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
+	set.NewGauge("bluebellwind_cold_servers", func() float64 {
+		known, _ := g.directory.ColdServers(time.Now())
+		return float64(known)
+	})
+	set.NewGauge("bluebellwind_budgeted_servers", func() float64 {
+		_, budgeted := g.directory.ColdServers(time.Now())
+		return float64(budgeted)
+	})
 	set.NewGauge("bluebellwind_server_connections_opened", func() float64 { return float64(g.pool.DialAttempts()) })
 	return m
 }
@@ -82,6 +90,12 @@
 	m.set.GetOrCreateCounter("bluebellwind_quarantine_probes_total").Inc()
 }
 
+// countBudgetDenial counts a request that was not sent to the server chosen for it because of
+// the budget of the server.
+func (m *gatewayMetrics) countBudgetDenial() {
+	m.set.GetOrCreateCounter("bluebellwind_budget_denials_total").Inc()
+}
+
 func (m *gatewayMetrics) countPanic() {
 	m.set.GetOrCreateCounter("bluebellwind_panics_total").Inc()
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -127,6 +127,10 @@
 // was chosen that it wants no requests.
 var errServerWithdrawn = errors.New("gateway: the server takes no requests any more")
 
+// errBudgetUsed means that nothing was sent because the server takes no more requests in this
+// second.
+var errBudgetUsed = errors.New("gateway: the budget of the server is used up")
+
 // beforeSend is called when the connection is open and no byte has been sent. If
 // it returns nil, the request may run from then on.
 func (x *exchange) beforeSend(choice *backends.Choice) error {
@@ -150,6 +154,10 @@
 	if x.g.directory.Withdrawn(&choice.Server, time.Now()) {
 		return errServerWithdrawn
 	}
+	if !x.g.directory.ClaimSend(choice, time.Now()) {
+		x.g.metrics.countBudgetDenial()
+		return errBudgetUsed
+	}
 	return nil
 }
 
@@ -159,7 +167,7 @@
 	if errors.Is(err, errConfigStale) {
 		return outcomeConfigStale
 	}
-	if errors.Is(err, errServerWithdrawn) {
+	if errors.Is(err, errServerWithdrawn) || errors.Is(err, errBudgetUsed) {
 		x.failureCause = err.Error()
 		return outcomeNotRun
 	}
@@ -187,7 +195,7 @@
 // maybeSent reports whether bytes of a request whose sending failed with err may have
 // reached the server.
 func maybeSent(err error) bool {
-	if errors.Is(err, errConfigStale) || errors.Is(err, errServerWithdrawn) {
+	if errors.Is(err, errConfigStale) || errors.Is(err, errServerWithdrawn) || errors.Is(err, errBudgetUsed) {
 		return false
 	}
 	var sendErr *upstream.Error
--- a/gateway/withdrawal.go
+++ b/gateway/withdrawal.go
@@ -38,6 +38,7 @@
 // that it leaves, that it wants none for a time, or only so many.
 func (g *Gateway) recordWithdrawal(choice *backends.Choice, status int, metadata ResponseMetadata) {
 	now := time.Now()
+	g.recordCold(choice, status, metadata, now)
 	g.recordLimit(choice, status, metadata, now)
 	if metadata.Malformed != "" && g.malformed.first(choice.ID) {
 		g.log.Warn().Str("event", "header_unreadable").Str("server", choice.ID).Str("header", metadata.Malformed).Msg("")
@@ -57,6 +58,23 @@
 	}
 }
 
+// recordCold records that the server has answered, and for how long it stays cold.
+func (g *Gateway) recordCold(choice *backends.Choice, status int, metadata ResponseMetadata, now time.Time) {
+	if status == http.StatusMisdirectedRequest {
+		g.directory.RecordMisdirected(choice)
+		return
+	}
+	if metadata.MalformedCold != "" && g.malformedCold.first(choice.ID) {
+		g.log.Warn().Str("event", "header_unreadable").Str("server", choice.ID).Str("header", metadata.MalformedCold).Msg("")
+	}
+	known := metadata.MalformedCold == "" && (status < http.StatusInternalServerError || metadata.ColdRemaining > 0)
+	if g.directory.RecordAnswer(choice, metadata.ColdRemaining, known, now) {
+		g.metrics.countWithdrawal("cold")
+		g.log.Info().Str("event", "server").Str("server", choice.ID).Str("change", "is cold").
+			Int64("for_ms", metadata.ColdRemaining.Milliseconds()).Msg("")
+	}
+}
+
 // recordLimit records how many requests a server takes, as it says in a response.
 func (g *Gateway) recordLimit(choice *backends.Choice, status int, metadata ResponseMetadata, now time.Time) {
 	limit := metadata.RequestLimit
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -80,6 +80,11 @@
 	// MaxConnections is the number of connections that one backend server
 	// accepts from all clients together; 0 means that no limit is known.
 	MaxConnections int
+	// ColdPerSecond is the number of requests a second that a server handles while it is
+	// cold; 0 if servers are never cold. ColdStart is how long a server is cold after a
+	// start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// Engine describes the model engines; nil if the service does not run any.
 	Engine *Engine
 }
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -59,15 +59,22 @@
 	RetryWindowS float64 `yaml:"retry_window_s"`
 	// GraceS bounds how long a process takes to stop, in seconds.
 	GraceS float64 `yaml:"grace_s"`
+	// ColdOvershoot and ColdSlack bound the requests that reach a cold server in any second:
+	// ColdOvershoot times the rate that it handles, plus ColdSlack. ColdOvershoot is zero if
+	// servers are never cold.
+	ColdOvershoot float64 `yaml:"cold_overshoot"`
+	ColdSlack     float64 `yaml:"cold_slack"`
 }
 
-// Defaults of Bounds, and the largest GraceS in seconds.
+// Defaults of Bounds, the largest GraceS in seconds, and the largest ColdOvershoot and
+// ColdSlack.
 const (
 	defaultRevokeMS     = 5000
 	defaultRetryRatio   = 0.2
 	defaultRetryWindowS = 10
 	defaultGraceS       = 8
 	maxGraceS           = 3600
+	maxColdBound        = 1_000_000
 )
 
 // LoadNode reads and validates the settings of a node.
@@ -147,6 +154,10 @@
 		return &invalidField{"bounds.retry_window_s", "must not be negative"}
 	case b.GraceS < 0 || b.GraceS > maxGraceS:
 		return &invalidField{"bounds.grace_s", fmt.Sprintf("must be between 0 and %d", maxGraceS)}
+	case !(b.ColdOvershoot >= 0) || b.ColdOvershoot > maxColdBound:
+		return &invalidField{"bounds.cold_overshoot", fmt.Sprintf("must be between 0 and %d", maxColdBound)}
+	case !(b.ColdSlack >= 0) || b.ColdSlack > maxColdBound:
+		return &invalidField{"bounds.cold_slack", fmt.Sprintf("must be between 0 and %d", maxColdBound)}
 	}
 	return nil
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -80,6 +80,9 @@
 	incarnation := uint64(time.Now().UnixNano())
 	directory := backends.NewDirectory(settings.Zone, seedFromName(settings.Name)^incarnation)
 	directory.SetSelf(settings.Name)
+	if bound := coldBound(settings); bound != nil {
+		directory.EnableColdStart(*bound, time.Now())
+	}
 	suspicions, limits := &suspicionExchange{}, &limitExchange{directory: directory}
 	others := &gossip{topics: []topic{suspicions, limits}}
 	meshNode, err := mesh.Listen(mesh.Options{
@@ -170,11 +173,21 @@
 			FreeRetries: settings.Bounds.RetryFree,
 			Reserve:     retryBudgetReserve,
 		},
+		Cold:         coldBound(settings),
 		DrainDelay:   min(unreadyDetectionTime, settings.Bounds.Grace()/2),
 		DrainTimeout: settings.Bounds.Grace() - shutdownReserve(settings.Bounds.Grace()),
 	}
 }
 
+// coldBound returns the bound on the requests that reach cold servers, or nil if the settings
+// state none because servers are never cold.
+func coldBound(settings *config.Node) *backends.ColdBound {
+	if settings.Bounds.ColdOvershoot == 0 {
+		return nil
+	}
+	return &backends.ColdBound{Overshoot: settings.Bounds.ColdOvershoot, Slack: settings.Bounds.ColdSlack}
+}
+
 // shutdownReserve returns the part of a grace period that is reserved for ending the
 // process.
 func shutdownReserve(grace time.Duration) time.Duration {
@@ -234,7 +247,7 @@
 func peerChangeHandler(directory *backends.Directory, others *gossip, logger *logging.Bounded) func(mesh.Peer, bool) {
 	return func(p mesh.Peer, alive bool) {
 		if p.Role == mesh.Gateway {
-			directory.SetGatewayAlive(p.ID, alive, time.Now())
+			directory.SetGatewayAlive(p.ID, p.Zone, alive, time.Now())
 		}
 		others.handlePeerChange(p, alive)
 		logger.Info().Str("event", "peer").Str("peer", p.ID).Bool("alive", alive).Msg("")
--- a/ratelimit/registry.go
+++ b/ratelimit/registry.go
@@ -26,7 +26,7 @@
 
 // NewRegistry returns a Registry without limits of a gateway that knows no others.
 func NewRegistry(rng *rand.Rand) *Registry {
-	return &Registry{fleet: fleet{goneAt: make(map[string]time.Time)}, rng: rng, limits: make(map[Server]*limit)}
+	return &Registry{fleet: fleet{goneAt: make(map[string]time.Time), memory: goneMemory}, rng: rng, limits: make(map[Server]*limit)}
 }
 
 // SetSelf sets the ID of this gateway.
@@ -34,12 +34,7 @@
 
 // SetAlive records whether another gateway is heard of.
 func (r *Registry) SetAlive(id string, alive bool, now time.Time) {
-	r.fleet.updatedAt = time.Time{}
-	if alive {
-		r.fleet.goneAt[id] = time.Time{}
-	} else {
-		r.fleet.goneAt[id] = now
-	}
+	r.fleet.setAlive(id, alive, now)
 }
 
 // Statement is what one gateway tells another of a limit.
--- a/ratelimit/senders.go
+++ b/ratelimit/senders.go
@@ -24,6 +24,8 @@
 	// goneAt has the other gateways by ID, with the time at which each was last no longer
 	// heard of; zero while it is heard of.
 	goneAt map[string]time.Time
+	// memory is how long a gateway that is no longer heard of is still counted.
+	memory time.Duration
 	// ordered and position are the result of the last update, at updatedAt.
 	ordered   []string
 	position  int
@@ -33,6 +35,16 @@
 // maxOrderAge is how long the order of gateways is used.
 const maxOrderAge = 500 * time.Millisecond
 
+// setAlive records whether another gateway is heard of.
+func (f *fleet) setAlive(id string, alive bool, now time.Time) {
+	f.updatedAt = time.Time{}
+	if alive {
+		f.goneAt[id] = time.Time{}
+	} else {
+		f.goneAt[id] = now
+	}
+}
+
 // order returns the position of this gateway among those that may send, and their number.
 // The order is the same in all gateways and independent of their zones.
 func (f *fleet) order(now time.Time) (position, gateways int) {
@@ -47,7 +59,7 @@
 func (f *fleet) members(now time.Time) []string {
 	ids := []string{f.self}
 	for id, gone := range f.goneAt {
-		if gone.IsZero() || now.Sub(gone) < goneMemory {
+		if gone.IsZero() || now.Sub(gone) < f.memory {
 			ids = append(ids, id)
 		} else {
 			delete(f.goneAt, id)
