--- a/backends/cold.go
+++ b/backends/cold.go
@@ -55,9 +55,10 @@
 }
 
 // published records a published server, which replaces another entry of the same ID if
-// previous is not nil.
+// previous is not nil. An entry that is read again states nothing new.
 func (c *cold) published(s *Server, previous *Server, now time.Time) {
-	if s.ColdRemaining > 0 {
+	isNew := previous == nil || previous.ColdRemaining != s.ColdRemaining || previous.Started != s.Started
+	if s.ColdRemaining > 0 && isNew {
 		c.note(s.ID, s.ColdRemaining, now)
 	}
 	if previous != nil && previous.Started != s.Started {
@@ -124,6 +125,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cold.budgets.Arrived(c.permit, now)
+	d.markReopened(c.ID)
 	if !known || remaining <= 0 && !c.pickedAt.After(d.cold.notedAt[c.ID]) {
 		return false // The answer may be older than what says that the server is cold.
 	}
@@ -143,6 +145,28 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cold.budgets.Return(c.ID, c.permit)
+	d.markReopened(c.ID)
+}
+
+// markReopened marks the routing table as outdated if the server is closed by its budget, of
+// which a part has become free or will sooner. The caller holds the lock.
+func (d *Directory) markReopened(id string) {
+	if e := d.servers[id]; e != nil && e.closedByBudget {
+		d.markOutdated(e.Service)
+	}
+}
+
+// noteReopening notes when a server that is closed by its budget opens again. The caller holds
+// the lock.
+func (d *Directory) noteReopening(t *serviceTable, e *serverState, now time.Time) {
+	if next, ok := d.cold.budgets.Next(e.ID, now); ok && (t.reopensAt.IsZero() || next.Before(t.reopensAt)) {
+		t.reopensAt = next
+	}
+}
+
+// hasReopened reports whether a server that was closed by its budget has opened since.
+func (t *serviceTable) hasReopened(now time.Time) bool {
+	return !t.reopensAt.IsZero() && !now.Before(t.reopensAt)
 }
 
 // ClaimSend reports whether the request may be sent to the chosen server now. It must be called
--- a/backends/directory.go
+++ b/backends/directory.go
@@ -445,4 +445,7 @@
 	groupLoads map[string]groupLoad
 	// candidates are those of the view at the last update.
 	candidates []routing.Candidate
+	// reopensAt is when the first server that is closed by its budget opens again, as far
+	// as that is known; zero if there is none.
+	reopensAt time.Time
 }
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -106,8 +106,9 @@
 	c.directory.mu.Lock()
 	defer c.directory.mu.Unlock()
 	c.group.inFlight--
-	if !c.permit.Sent() {
+	if c.permit != nil && !c.permit.Sent() {
 		c.directory.cold.budgets.Return(c.ID, c.permit)
+		c.directory.markReopened(c.ID)
 	}
 }
 
@@ -125,11 +126,16 @@
 		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
 		d.tables[r.ServiceName] = t
 	}
-	if t.outdated || now.Sub(t.updatedAt) > maxViewAge {
+	if t.outdated || now.Sub(t.updatedAt) > maxViewAge || t.hasReopened(now) {
 		view := d.routingView(&r, now)
 		t.table.Update(view)
 		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
-		t.candidates = view.Candidates
+		t.candidates, t.reopensAt = view.Candidates, time.Time{}
+		for _, e := range d.servers {
+			if e.Service == r.ServiceName && e.closedByBudget {
+				d.noteReopening(t, e, now)
+			}
+		}
 		t.outdated, t.updatedAt = false, now
 	}
 	excluded := append(d.serversInGroups(r.AvoidGroups), d.coldServersToAvoid(&r, t, now)...)
@@ -159,6 +165,8 @@
 	permit := d.cold.budgets.Take(e.ID, now)
 	if permit != nil && !d.cold.budgets.Open(e.ID, now) {
 		t.table.Exclude(e.ID)
+		e.closedByBudget = true
+		d.noteReopening(t, e, now)
 	}
 	g := d.ensureGroup(e.Group.Name)
 	g.inFlight++
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -51,12 +51,13 @@
 
 func (testHeaderCodec) ParseResponse(_ int, h http.Header) ResponseMetadata {
 	seconds, _ := strconv.ParseFloat(h.Get("Backoff"), 64)
+	coldMillis, _ := strconv.Atoi(h.Get("Cold"))
 	var limit *float64
 	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		limit = &perSecond
 	}
 	return ResponseMetadata{
-		RequestLimit: limit,
+		RequestLimit: limit, ColdRemaining: time.Duration(coldMillis) * time.Millisecond, MalformedCold: h.Get("Malformed-Cold"),
 		NotRun:       h.Get("Not-Run") != "", FaultyServer: h.Get("Faulty"), HasSeal: h.Get("Seal") != "",
 		Leaving: h.Get("Leaving") != "", Backoff: time.Duration(seconds * float64(time.Second)), Malformed: h.Get("Malformed"),
 	}
@@ -113,6 +114,8 @@
 	logOutput logBuffer
 	// engine is set if the servers are model servers.
 	engine *ingress.Engine
+	// service has further properties of the service; its name and engine are set by start.
+	service ingress.Service
 	// maxProofAge is short in tests that wait until the proof is stale.
 	maxProofAge time.Duration
 	// freeRetries is the retry budget.
@@ -215,13 +218,15 @@
 	}
 	public := route("public", ingress.Idempotent, 2)
 	public.Public = true
+	service := h.service
+	service.Name, service.Engine = "svc", h.engine
 	h.source.snapshot = &discovery.Snapshot{
 		Revision: 1,
 		Servers:  h.servers,
 		Config: &ingress.Config{
 			Version:       1,
 			Routes:        []ingress.Route{route("once", ingress.AtMostOnce, 1), route("again", ingress.Idempotent, h.maxAttempts), route("stream", ingress.Stream, 2), public},
-			Services:      []ingress.Service{{Name: "svc", Engine: h.engine}},
+			Services:      []ingress.Service{service},
 			Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"key"}}},
 			Limits:        ingress.Limits{IdleTimeout: h.idleTimeout},
 		},
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -43,6 +43,8 @@
 		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:10: bounds.retry_window_s",
 		nodeSettings + "  retry_free: -1\n":         "s.yaml:10: bounds.retry_free",
 		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:10: revoke_ms",
+		nodeSettings + "  cold_overshoot: -1\n":     "s.yaml:10: bounds.cold_overshoot",
+		nodeSettings + "  cold_slack: .nan\n":       "s.yaml:10: bounds.cold_slack",
 		"name: [\n":                                 "s.yaml:",
 		"name: \"gw\"\nzone: \"z\"\nmesh: \"nope\"": "s.yaml:3: mesh",
 	}
