Cold servers: processes with cold servers in the soak tests; the order of gateways hashes each ID once

Cold servers that had a fixed penalty of 400 ms got nothing beside a warm plain server; the penalty is now the time of two requests at that server.

--- a/backends/cold.go
+++ b/backends/cold.go
@@ -11,9 +11,9 @@
 const (
 	// maxColdTime bounds how long a server counts as cold at a time.
 	maxColdTime = time.Hour
-	// coldPenalty is added to the backlog of a cold server: about two more requests of 2 s
-	// at a server of 10 slots.
-	coldPenalty = 400 * time.Millisecond
+	// coldExtraRequests is how many more requests a cold server counts as having, so that it is
+	// chosen less often.
+	coldExtraRequests = 2
 	// coldSlotShare is the part of the slots of a cold server that is counted on.
 	coldSlotShare = 0.5
 	// standingMargin is the least ratio between what a budget lets through and what the slots
@@ -229,6 +229,11 @@
 	return float64(max(1, e.Slots)) / requestTime.Seconds()
 }
 
+// coldPenalty returns what is added to the backlog of a cold server.
+func coldPenalty(s *ingress.Service, slots int) time.Duration {
+	return time.Duration(coldExtraRequests / completionRate(s, slots) * float64(time.Second))
+}
+
 // coldServersToAvoid returns the cold servers of a service, which a request that is not of the
 // most urgent priority avoids while another server has a free slot. The caller holds the lock.
 func (d *Directory) coldServersToAvoid(r *PickRequest, t *serviceTable, now time.Time) []string {
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -328,7 +328,7 @@
 			c.Load.StepTime = status.PassTime / time.Duration(max(1, r.Service.Engine.Stride))
 		}
 		if d.cold.remaining(id, r.Service, now) > 0 && r.Service.ColdPerSecond > 0 {
-			c.ZonePenalty += coldPenalty
+			c.ZonePenalty += coldPenalty(r.Service, e.Slots)
 			c.Load.Slots = max(min(1, c.Load.Slots), int(coldSlotShare*float64(c.Load.Slots)))
 		}
 		v.Candidates = append(v.Candidates, c)
--- a/ratelimit/budget.go
+++ b/ratelimit/budget.go
@@ -85,11 +85,14 @@
 // second. The share follows from the gateways that it knows; nothing is exchanged. It is not
 // safe for concurrent use.
 type Budgets struct {
-	fleet     fleet
-	zone      string
-	zones     map[string]string
-	allZones  []string
-	startedAt time.Time
+	fleet    fleet
+	zone     string
+	zones    map[string]string
+	allZones []string
+	// heardZones are the zones of gateways that count, as of heardAt.
+	heardZones map[string]bool
+	heardAt    time.Time
+	startedAt  time.Time
 	// accounts is keyed by server ID: a server that has started again has the same address,
 	// and requests for its earlier start may arrive at it.
 	accounts map[string]*account
@@ -118,7 +121,7 @@
 // SetAlive records whether another gateway is heard of, and its zone.
 func (b *Budgets) SetAlive(id, zone string, alive bool, now time.Time) {
 	b.fleet.setAlive(id, alive, now)
-	b.zones[id] = zone
+	b.zones[id], b.heardZones = zone, nil
 }
 
 // SetServerZones sets the availability zones, each once, that have servers of any service.
@@ -148,10 +151,13 @@
 // gateway has been heard have as many gateways as the others have on average. A gateway that
 // starts in a zone that is cut off does not know the gateways of the other zones.
 func (b *Budgets) scaleToAllZones(position, gateways int) (scaledPosition, scaledGateways int) {
-	heard := map[string]bool{b.zone: true}
-	for id := range b.fleet.goneAt {
-		heard[b.zones[id]] = true
+	if b.heardZones == nil || !b.heardAt.Equal(b.fleet.updatedAt) {
+		b.heardZones, b.heardAt = map[string]bool{b.zone: true}, b.fleet.updatedAt
+		for id := range b.fleet.goneAt {
+			b.heardZones[b.zones[id]] = true
+		}
 	}
+	heard := b.heardZones
 	all := len(heard)
 	for _, zone := range b.allZones {
 		if !heard[zone] {
--- a/ratelimit/budget_test.go
+++ b/ratelimit/budget_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -399,21 +400,28 @@
 	return most, mean
 }
 
-// coldCases returns the number of fleets that are drawn: BBW_COLD_CASES, or a few thousand.
-func coldCases(t *testing.T) uint64 {
+// coldCases returns the seeds of the fleets that are drawn, from first to before last:
+// BBW_COLD_CASES is their number or a range such as 2000-9999.
+func coldCases(t *testing.T) (first, last uint64) {
 	text := os.Getenv("BBW_COLD_CASES")
 	if text == "" {
-		return 2000
+		return 0, 2000
 	}
-	n, err := strconv.ParseUint(text, 10, 64)
+	from, to, ranged := strings.Cut(text, "-")
+	if !ranged {
+		from, to = "0", text
+	}
+	first, err := strconv.ParseUint(from, 10, 64)
+	assert.NilError(t, err)
+	last, err = strconv.ParseUint(to, 10, 64)
 	assert.NilError(t, err)
-	return n
+	return first, last
 }
 
 // Servers that came back cold crashed under the requests of all gateways together.
 func TestColdServersAreNotOverrun(t *testing.T) {
 	const workers = 4
-	cases := coldCases(t)
+	firstSeed, lastSeed := coldCases(t)
 	type result struct {
 		over    int
 		closest float64
@@ -423,7 +431,7 @@
 	for w := range uint64(workers) {
 		go func() {
 			var r result
-			for seed := w; seed < cases; seed += workers {
+			for seed := firstSeed + w; seed < lastSeed; seed += workers {
 				m := newColdModel(seed)
 				m.play()
 				most, mean := m.mostInASecond()
@@ -445,5 +453,5 @@
 	}
 	slices.Sort(all.used)
 	t.Logf("%d fleets, %d over the bound, at most %.2f of it; share of the bound in use: median %.2f, highest tenth above %.2f",
-		cases, all.over, all.closest, all.used[len(all.used)/2], all.used[len(all.used)*9/10])
+		lastSeed-firstSeed, all.over, all.closest, all.used[len(all.used)/2], all.used[len(all.used)*9/10])
 }
--- a/ratelimit/senders.go
+++ b/ratelimit/senders.go
@@ -57,17 +57,25 @@
 
 // members returns this gateway and those that may still send, in their order.
 func (f *fleet) members(now time.Time) []string {
-	ids := []string{f.self}
+	type member struct {
+		hash uint64
+		id   string
+	}
+	members := []member{{xxhash.Sum64String(f.self), f.self}}
 	for id, gone := range f.goneAt {
 		if gone.IsZero() || now.Sub(gone) < f.memory {
-			ids = append(ids, id)
+			members = append(members, member{xxhash.Sum64String(id), id})
 		} else {
 			delete(f.goneAt, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	slices.SortFunc(members, func(a, b member) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
 	})
+	ids := make([]string, len(members))
+	for i := range members {
+		ids[i] = members[i].id
+	}
 	return ids
 }
 
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -67,6 +67,7 @@
 	{"requests that crashed plain servers no longer reach them", (*history).repeatArrivals},
 	{"sound requests are begun beside a part that crashed servers", (*history).soundRequestsLost},
 	{"servers get no more requests than the limit that they state", (*history).limitsExceeded},
+	{"cold servers get no more requests than they can take", (*history).coldServersOverrun},
 	{"whole responses without length or chunks arrive", (*history).unframedLost},
 	{"requests succeed after the last fault", (*history).unservedRoutes},
 }
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -30,6 +30,8 @@
 	partCrashes map[string][]time.Time
 	// limitPeriods are the periods in which servers stated request limits.
 	limitPeriods []limitPeriod
+	// coldPeriods are the periods in which servers were cold.
+	coldPeriods []coldPeriod
 	// mapViolations describes the passes in which ranks used different maps.
 	// heldGroups are the groups that were still stopped by a hold at the end.
 	mapViolations, heldGroups []string
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -58,6 +58,9 @@
 			{Host: host, Prefix: canaryPath, Service: canary, RouteType: platformtest.Safe, Timeout: plainRouteTimeout, Objective: plainTargetLatency},
 		},
 	}
+	if r.size.ColdServers {
+		enableColdServers(&c)
+	}
 	for i := range canaryServiceCount {
 		c.Services[canaryService(i)] = nil
 	}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -21,7 +21,9 @@
 	Callers int
 	// Faults is the number of faults. They are injected during FaultPeriod, which
 	// is followed by RecoveryPeriod without faults.
-	Faults                      int
+	Faults int
+	// ColdServers says that the plain servers may be cold.
+	ColdServers                 bool
 	FaultPeriod, RecoveryPeriod time.Duration
 }
 
@@ -337,6 +339,10 @@
 	if err != nil {
 		return config.Node{}, err
 	}
+	bounds := bounds
+	if r.size.ColdServers {
+		bounds.ColdOvershoot, bounds.ColdSlack = coldOvershoot, coldSlack
+	}
 	return config.Node{
 		Name: name, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Callers: callers, Ready: ready,
 		Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
