--- a/backends/cold.go
+++ b/backends/cold.go
@@ -19,7 +19,7 @@
 	// standingMargin is the least ratio between what a budget lets through and what the slots
 	// of a server complete at which the budget applies to servers that are not known to be
 	// cold.
-	standingMargin = 2
+	standingMargin = 1.5
 )
 
 // ColdBound says how many requests reach a cold server in any second, at most: Overshoot times
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -57,8 +57,9 @@
 		limit = &perSecond
 	}
 	return ResponseMetadata{
-		RequestLimit: limit, ColdRemaining: time.Duration(coldMillis) * time.Millisecond, MalformedCold: h.Get("Malformed-Cold"),
-		NotRun:       h.Get("Not-Run") != "", FaultyServer: h.Get("Faulty"), HasSeal: h.Get("Seal") != "",
+		RequestLimit: limit, ColdRemaining: time.Duration(coldMillis) * time.Millisecond,
+		MalformedCold: h.Get("Malformed-Cold"),
+		NotRun:        h.Get("Not-Run") != "", FaultyServer: h.Get("Faulty"), HasSeal: h.Get("Seal") != "",
 		Leaving: h.Get("Leaving") != "", Backoff: time.Duration(seconds * float64(time.Second)), Malformed: h.Get("Malformed"),
 	}
 }
--- a/ratelimit/budget_test.go
+++ b/ratelimit/budget_test.go
@@ -125,6 +125,9 @@
 	cutZone           int
 	cutFrom, cutUntil time.Time
 	started           int
+	// saturated says that nothing disturbs the gateways, and that together they have twice as
+	// many requests as they have permits or more.
+	saturated bool
 }
 
 // coldGateway is a place in the fleet, whose process may be replaced.
@@ -175,12 +178,15 @@
 		m.cutFrom = m.randomTime()
 		m.cutUntil = m.cutFrom.Add(time.Duration(rng.Float64() * float64(8*time.Second)))
 	}
-	for range rng.IntN(4) {
+	disturbances := rng.IntN(4)
+	for range disturbances {
 		m.disturbOne()
 	}
-	if rng.IntN(4) == 0 {
+	zoneRestarts := rng.IntN(4) == 0
+	if zoneRestarts {
 		m.restartZone()
 	}
+	m.saturated = disturbances == 0 && !zoneRestarts && m.cutZone < 0
 	return m
 }
 
@@ -288,6 +294,7 @@
 func (m *coldModel) play() {
 	// Together the gateways have up to three times as many requests as the servers take.
 	perSecond := (0.5 + 3*m.rng.Float64()) * float64(m.bound.requests()*len(m.servers))
+	m.saturated = m.saturated && perSecond >= 2*float64(m.bound.requests()*len(m.servers))
 	sum := 0.0
 	for _, g := range m.gateways {
 		sum += g.weight
@@ -401,11 +408,11 @@
 }
 
 // coldCases returns the seeds of the fleets that are drawn, from first to before last:
-// BBW_COLD_CASES is their number or a range such as 2000-9999.
+// BBW_COLD_CASES is their number or a range such as 2000-9999; coldFleets if it is not set.
 func coldCases(t *testing.T) (first, last uint64) {
 	text := os.Getenv("BBW_COLD_CASES")
 	if text == "" {
-		return 0, 2000
+		return 0, coldFleets
 	}
 	from, to, ranged := strings.Cut(text, "-")
 	if !ranged {
@@ -426,6 +433,8 @@
 		over    int
 		closest float64
 		used    []float64
+		// saturated is like used for the fleets that are saturated.
+		saturated []float64
 	}
 	results := make(chan result, workers)
 	for w := range uint64(workers) {
@@ -438,6 +447,9 @@
 				allowed := m.bound.PerSecond*m.bound.Overshoot + m.bound.Slack
 				r.closest = max(r.closest, float64(most)/allowed)
 				r.used = append(r.used, mean/allowed)
+				if m.saturated {
+					r.saturated = append(r.saturated, mean/allowed)
+				}
 				if float64(most) > allowed {
 					r.over++
 					t.Errorf("seed %d: %d requests in a second of %.1f allowed, %d gateways, %d servers", seed, most, allowed, len(m.gateways), len(m.servers))
@@ -450,8 +462,10 @@
 	for range workers {
 		r := <-results
 		all.over, all.closest, all.used = all.over+r.over, max(all.closest, r.closest), append(all.used, r.used...)
+		all.saturated = append(all.saturated, r.saturated...)
 	}
 	slices.Sort(all.used)
-	t.Logf("%d fleets, %d over the bound, at most %.2f of it; share of the bound in use: median %.2f, highest tenth above %.2f",
-		lastSeed-firstSeed, all.over, all.closest, all.used[len(all.used)/2], all.used[len(all.used)*9/10])
+	slices.Sort(all.saturated)
+	t.Logf("%d fleets, %d over the bound, at most %.2f of it; share of the bound in use: median %.2f, highest tenth above %.2f; with demand of twice the permits and more, and no disturbance: median %.2f",
+		lastSeed-firstSeed, all.over, all.closest, all.used[len(all.used)/2], all.used[len(all.used)*9/10], all.saturated[len(all.saturated)/2])
 }
