Cold servers: a budget ends with the rate in the configuration

A service whose configuration dropped cold_per_s kept its budgets. The check of the soak tests for cold servers is seen failing like the others.

--- a/backends/cold.go
+++ b/backends/cold.go
@@ -69,6 +69,7 @@
 func (c *cold) removed(id string) {
 	c.note(id, 0, time.Time{})
 	delete(c.restartedAt, id)
+	c.budgets.Suspend(id)
 }
 
 // remaining returns how long the server is still known to be cold; zero if it is not. A server
@@ -194,6 +195,7 @@
 // caller holds the lock.
 func (d *Directory) updateColdBudgets(r *PickRequest, now time.Time) {
 	if r.Service == nil || r.Service.ColdPerSecond <= 0 {
+		d.suspendColdBudgets(r.ServiceName)
 		return
 	}
 	var servers, zones []string
@@ -215,6 +217,19 @@
 	d.cold.budgets.Update(servers, bound, limited, now)
 }
 
+// suspendColdBudgets ends the budgets of the servers of a service, which may have had some by an
+// earlier configuration. The caller holds the lock.
+func (d *Directory) suspendColdBudgets(service string) {
+	if d.cold.budgets.Limited() == 0 {
+		return
+	}
+	for id, e := range d.servers {
+		if e.Service == service {
+			d.cold.budgets.Suspend(id)
+		}
+	}
+}
+
 // completionRate returns how many requests a second a server with so many slots completes at
 // most, by the costs that the configuration states.
 func completionRate(s *ingress.Service, slots int) float64 {
--- a/backends/cold_test.go
+++ b/backends/cold_test.go
@@ -88,6 +88,23 @@
 	assert.Assert(t, choices[0].permit == nil)
 }
 
+// Budgets stayed in force after the configuration had dropped the rate.
+func TestBudgetEndsWithTheRateInTheConfiguration(t *testing.T) {
+	d := newColdDirectory("a")
+	_, _ = sendUntilRefused(t, d, newColdRequest(false), 1, start)
+	d.cold.note("a", time.Hour, start)
+	d.markOutdated("plain")
+	sent, _ := sendUntilRefused(t, d, newColdRequest(false), 100, start)
+	assert.Equal(t, sent, 39)
+	r := newColdRequest(false)
+	r.Service.ColdPerSecond = 0
+	d.markOutdated("plain")
+	sent, _ = sendUntilRefused(t, d, r, 100, start)
+	assert.Equal(t, sent, 100)
+	_, budgeted := d.ColdServers(start)
+	assert.Equal(t, budgeted, 0)
+}
+
 // A server may start again without notice and keep its ID; requests for its earlier start
 // arrive at the new one.
 func TestServerThatStartedAgainIsCold(t *testing.T) {
--- a/ratelimit/budget.go
+++ b/ratelimit/budget.go
@@ -192,6 +192,13 @@
 	return a
 }
 
+// Suspend ends the budget of a server until the next update of it. Permits stay in use.
+func (b *Budgets) Suspend(id string) {
+	if a := b.accounts[id]; a != nil {
+		a.limited = false
+	}
+}
+
 // Expire forgets servers that have not been updated for budgetMemory.
 func (b *Budgets) Expire(now time.Time) {
 	for id, a := range b.accounts {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -133,6 +133,12 @@
 				addAttempt(h, fmt.Sprint("l", i), unsafePath, min(1, time.Duration(i))*(limitGrace+time.Second), func(a *attempt) {})
 			}
 		},
+		"cold servers get no more requests than they can take": func(h *history) {
+			h.coldPeriods = []coldPeriod{{server: "app-0", begin: baseTime.Add(-time.Minute), end: baseTime.Add(time.Minute)}}
+			for i := range 1 + int(coldPerSecond*coldOvershoot+coldSlack) {
+				addAttempt(h, fmt.Sprint("c", i), unsafePath, time.Second, func(a *attempt) {})
+			}
+		},
 		"whole responses without length or chunks arrive": func(h *history) {
 			addAttempt(h, "x", unsafePath, 0, func(a *attempt) { a.wholeUnframedAt, a.response.Complete = a.endedAt, false })
 		},
