--- a/backends/directory.go
+++ b/backends/directory.go
@@ -46,6 +46,8 @@
 	// the latest time at which a caller was told to retry because of them.
 	limits   *ratelimit.Registry
 	promised map[string]time.Time
+	// cold knows the servers that are cold.
+	cold cold
 	// heldBack holds, by ID, the servers that a restored source publishes again
 	// although they were removed before.
 	heldBack map[string]heldServer
@@ -73,6 +75,9 @@
 	// load is what the server stated in the response received at loadAt.
 	load   Load
 	loadAt time.Time
+	// closedByBudget says that the budget of the server was the only reason to exclude it
+	// from the latest view.
+	closedByBudget bool
 }
 
 // groupState is what this process knows about one group of ranks.
@@ -111,6 +116,7 @@
 		withdrawals: newWithdrawals(),
 		limits:      ratelimit.NewRegistry(rng),
 		promised:    make(map[string]time.Time),
+		cold:        newCold(zone),
 		heldBack:    make(map[string]heldServer),
 	}
 }
@@ -129,6 +135,9 @@
 		e = &serverState{}
 		d.servers[s.ID] = e
 		d.memberDigest ^= hashID(s.ID)
+		d.cold.published(&s, nil, now)
+	} else {
+		d.cold.published(&s, &e.Server, now)
 	}
 	e.Server = s
 	e.expiresAt = time.Time{}
@@ -142,6 +151,7 @@
 	delete(d.servers, e.ID)
 	d.memberDigest ^= hashID(e.ID)
 	d.withdrawals.markRemoved(&e.Server, now)
+	d.cold.removed(e.ID)
 	d.markOutdated(e.Service)
 }
 
@@ -248,6 +258,7 @@
 		return e != nil && e.incarnation() == i
 	})
 	d.limits.Expire(now)
+	d.cold.expire(now)
 	for address, s := range d.statuses {
 		if now.Sub(s.ReceivedAt) > statusTTL {
 			delete(d.statuses, address)
@@ -447,4 +458,9 @@
 	// for plain services.
 	groupLoads map[string]groupLoad
 	subset     subset
+	// candidates are those of the view at the last update.
+	candidates []routing.Candidate
+	// reopensAt is when the first server that is closed by its budget opens again, as far
+	// as that is known; zero if there is none.
+	reopensAt time.Time
 }
--- a/backends/subset_test.go
+++ b/backends/subset_test.go
@@ -105,7 +105,7 @@
 		g.SetSelf(modelID("gateway", i))
 		for j := range m.gateways {
 			if j != i && !m.noSubsets {
-				g.SetGatewayAlive(modelID("gateway", j), true, start)
+				g.SetGatewayAlive(modelID("gateway", j), fmt.Sprint("z", j%2), true, start)
 			}
 		}
 		for _, s := range servers {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -137,6 +137,10 @@
 // has begun since the server was chosen.
 var errZoneEvacuated = errors.New("gateway: the zone of the server is evacuated")
 
+// errBudgetUsed means that nothing was sent because the server takes no more requests in this
+// second.
+var errBudgetUsed = errors.New("gateway: the budget of the server is used up")
+
 // beforeSend is called when the connection is open and no byte has been sent. If
 // it returns nil, the request may run from then on.
 func (x *exchange) beforeSend(choice *backends.Choice) error {
@@ -163,13 +167,17 @@
 	if x.g.directory.Evacuated(&choice.Server) {
 		return errZoneEvacuated
 	}
+	if !x.g.directory.ClaimSend(choice, time.Now()) {
+		x.g.metrics.countBudgetDenial()
+		return errBudgetUsed
+	}
 	return nil
 }
 
 // neverSent reports whether err says that nothing was sent because the server must not be
-// used any more.
+// used now.
 func neverSent(err error) bool {
-	return errors.Is(err, errServerWithdrawn) || errors.Is(err, errZoneEvacuated)
+	return errors.Is(err, errServerWithdrawn) || errors.Is(err, errZoneEvacuated) || errors.Is(err, errBudgetUsed)
 }
 
 // handleSendError records and classifies an attempt that received no response
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -45,6 +45,8 @@
 		nodeSettings + "  evacuate_ms: -1\n":        "s.yaml:10: bounds.evacuate_ms",
 		nodeSettings + "  retry_free: -1\n":         "s.yaml:10: bounds.retry_free",
 		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:10: revoke_ms",
+		nodeSettings + "  cold_overshoot: -1\n":     "s.yaml:10: bounds.cold_overshoot",
+		nodeSettings + "  cold_slack: .nan\n":       "s.yaml:10: bounds.cold_slack",
 		"name: [\n":                                 "s.yaml:",
 		"name: \"gw\"\nzone: \"z\"\nmesh: \"nope\"": "s.yaml:3: mesh",
 	}
--- a/ratelimit/senders.go
+++ b/ratelimit/senders.go
@@ -24,6 +24,8 @@
 	// goneAt has the other gateways by ID, with the time at which each was last no longer
 	// heard of; zero while it is heard of.
 	goneAt map[string]time.Time
+	// memory is how long a gateway that is no longer heard of is still counted.
+	memory time.Duration
 	// ordered and position are the result of the last update, at updatedAt.
 	ordered   []string
 	position  int
@@ -33,6 +35,16 @@
 // maxOrderAge is how long the order of gateways is used.
 const maxOrderAge = 500 * time.Millisecond
 
+// setAlive records whether another gateway is heard of.
+func (f *fleet) setAlive(id string, alive bool, now time.Time) {
+	f.updatedAt = time.Time{}
+	if alive {
+		f.goneAt[id] = time.Time{}
+	} else {
+		f.goneAt[id] = now
+	}
+}
+
 // order returns the position of this gateway among those that may send, and their number.
 // The order is the same in all gateways and independent of their zones.
 func (f *fleet) order(now time.Time) (position, gateways int) {
@@ -45,17 +57,25 @@
 
 // members returns this gateway and those that may still send, in their order.
 func (f *fleet) members(now time.Time) []string {
-	ids := []string{f.self}
+	type member struct {
+		hash uint64
+		id   string
+	}
+	members := []member{{xxhash.Sum64String(f.self), f.self}}
 	for id, gone := range f.goneAt {
-		if gone.IsZero() || now.Sub(gone) < goneMemory {
-			ids = append(ids, id)
+		if gone.IsZero() || now.Sub(gone) < f.memory {
+			members = append(members, member{xxhash.Sum64String(id), id})
 		} else {
 			delete(f.goneAt, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	slices.SortFunc(members, func(a, b member) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
 	})
+	ids := make([]string, len(members))
+	for i := range members {
+		ids[i] = members[i].id
+	}
 	return ids
 }
 
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -68,6 +68,7 @@
 	{"sound requests are begun beside a part that crashed servers", (*history).soundRequestsLost},
 	{"servers get no more requests than the limit that they state", (*history).limitsExceeded},
 	{"servers of evacuated zones get no new requests", (*history).sentToEvacuated},
+	{"cold servers get no more requests than they can take", (*history).coldServersOverrun},
 	{"whole responses without length or chunks arrive", (*history).unframedLost},
 	{"requests succeed after the last fault", (*history).unservedRoutes},
 }
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -32,6 +32,8 @@
 	limitPeriods []limitPeriod
 	// evacuations are the evacuations of zones.
 	evacuations []evacuation
+	// coldPeriods are the periods in which servers were cold.
+	coldPeriods []coldPeriod
 	// mapViolations describes the passes in which ranks used different maps.
 	// heldGroups are the groups that were still stopped by a hold at the end.
 	mapViolations, heldGroups []string
