--- a/backends/subset_test.go
+++ b/backends/subset_test.go
@@ -27,6 +27,9 @@
 	// swing is the share by which gateways in zone z0 get more requests, and those in z1
 	// fewer.
 	swing float64
+	// plain says that the servers are those of a plain service, whose calls take 40 ms and
+	// which report their load in responses only.
+	plain bool
 	// slowdown is how many times as long as usual the streams of every modelSlowStep-th server
 	// last; zero if none is slow.
 	slowdown float64
@@ -54,6 +57,7 @@
 	modelSamples    = 100 * time.Millisecond
 	modelStatusLate = 2 * time.Millisecond
 	modelSlowStep   = 16
+	modelCallTime   = 40 * time.Millisecond
 )
 
 // modelServer is a server of the model, modelGateway a gateway.
@@ -94,6 +98,9 @@
 			ID: modelID("server", i), Address: modelID("server", i) + ":1", Service: "llm", Zone: fmt.Sprint("z", i/2%2), Slots: modelSlots, Open: true,
 			Group: Group{Name: fmt.Sprint("g", i%2), Epoch: 1, Rank: i / 2, Size: m.servers / 2},
 		}}
+		if m.plain {
+			s.Group = Group{}
+		}
 		s.slow = i%modelSlowStep == 0
 		s.nextStatusAt = start.Add(time.Duration(rng.Int64N(int64(200 * time.Millisecond))))
 		servers = append(servers, s)
@@ -119,6 +126,9 @@
 		ServiceName: "llm", StartObjective: time.Second, UntilDeadline: 8 * time.Second, GatewayCount: m.gateways,
 		Service: &ingress.Service{Name: "llm", Engine: &ingress.Engine{Slots: modelSlots, Step: modelPassTime, AnswerTokens: modelEvents, Stride: 1}},
 	}
+	if m.plain {
+		request.Service = nil
+	}
 	var result subsetResult
 	var samples, atSlow int
 	statusPeriod := max(200*time.Millisecond, time.Duration(m.gateways)*5*time.Millisecond)
@@ -126,7 +136,7 @@
 		measured := now.Sub(start) >= modelWarmUp
 		for _, s := range servers {
 			s.step(now, m)
-			if !now.Before(s.nextStatusAt) {
+			if !m.plain && !now.Before(s.nextStatusAt) {
 				s.nextStatusAt = now.Add(statusPeriod)
 				s.report(gateways, now)
 			}
@@ -146,6 +156,9 @@
 				}
 				s := byID[stream.choice.ID]
 				stream.duration = time.Duration(modelEvents/2+rng.IntN(modelEvents)) * modelPassTime
+				if m.plain {
+					stream.duration = modelCallTime
+				}
 				if s.slow && m.slowdown > 0 {
 					stream.duration = time.Duration(m.slowdown * float64(stream.duration))
 				}
@@ -167,8 +180,10 @@
 				n := len(s.ends) + len(s.waiting)
 				most, total = max(most, n), total+n
 			}
-			result.busiest += float64(most*len(servers)) / float64(total)
-			samples++
+			if total > 0 {
+				result.busiest += float64(most*len(servers)) / float64(total)
+				samples++
+			}
 		}
 	}
 	result.busiest /= float64(samples)
@@ -183,6 +198,9 @@
 			return false
 		}
 		stream.choice.Release()
+		if m.plain {
+			stream.gateway.RecordSuccess(s.ID, &Load{Running: len(s.ends), Waiting: len(s.waiting), Slots: modelSlots}, now)
+		}
 		stream.gateway.idle[s.Address] = append(stream.gateway.idle[s.Address], now)
 		return true
 	})
@@ -278,6 +296,20 @@
 	assert.Assert(t, is.busiest < 1.05*was.busiest, "%.2f, %.2f before", is.busiest, was.busiest)
 }
 
+// Guards against idle connections that draw the calls of a plain service to few of its servers.
+func TestIdleConnectionsDoNotConcentratePlainCalls(t *testing.T) {
+	t.Parallel()
+	for _, servers := range []int{3, 7} {
+		before, after := modelBefore(60, servers), modelAfter(60, servers)
+		before.plain, after.plain = true, true
+		before.perSecond, after.perSecond = float64(servers)*2, float64(servers)*2 // Half of the slots are in use.
+		was, is := before.run(t), after.run(t)
+		was.log(t, "plain service, before", before)
+		is.log(t, "plain service, with idle connections preferred", after)
+		assert.Assert(t, is.busiest < 1.05*was.busiest, "%.2f, %.2f before", is.busiest, was.busiest)
+	}
+}
+
 // Each server must be in equally many subsets, and each subset must have its share of each
 // group and zone. A gateway that comes or goes must not change all subsets.
 func TestSubsetsAreEven(t *testing.T) {
--- a/internal/node/requestpath_test.go
+++ b/internal/node/requestpath_test.go
@@ -65,7 +65,7 @@
 
 // TestRequestPathCost measures the processor time and system calls per request of one gateway
 // process before stand-in model servers. It runs for BBW_PATH seconds, with BBW_PATH_LOAD
-// times the usual requests and BBW_PATH_PROCS as GOMAXPROCS; BBW_PATH_PROFILE names the file
+// times the usual requests, BBW_PATH_STATUSES statuses a second and BBW_PATH_PROCS as GOMAXPROCS; BBW_PATH_PROFILE names the file
 // for the processor profile:
 //
 //	BBW_PATH=20 go test -count=1 -v -run TestRequestPathCost ./internal/node
@@ -270,7 +270,11 @@
 	gateway := func(i int) *meshpb.Peer {
 		return &meshpb.Peer{Id: fmt.Sprintf("gateway-%d", i), Address: own, Role: uint32(mesh.Gateway), Zone: "z", Incarnation: 1}
 	}
-	ticker := time.NewTicker(time.Second / pathStatusesPerSecond)
+	perSecond := pathStatusesPerSecond
+	if n, err := strconv.Atoi(os.Getenv("BBW_PATH_STATUSES")); err == nil {
+		perSecond = n
+	}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	for n := 0; ctx.Err() == nil; n++ {
 		<-ticker.C
@@ -281,8 +285,8 @@
 			Step: uint64(time.Since(w.started) / pathPassTime), Map: 1, Prepared: 1, Running: uint32(2 + rand.IntN(4)), PaceMilli: 1000,
 			Sequence: uint64(n), PassUs: uint32(pathPassTime.Microseconds()),
 		}})
-		if n%(pathStatusesPerSecond/pathHellosPerSecond) == 0 {
-			i := n / (pathStatusesPerSecond / pathHellosPerSecond)
+		if statusesPerHello := max(1, perSecond/pathHellosPerSecond); n%statusesPerHello == 0 {
+			i := n / statusesPerHello
 			hello := &meshpb.Packet{From: gateway(1 + i%(pathGateways-1))}
 			for j := range 24 {
 				hello.Peers = append(hello.Peers, gateway(1+(i*24+j)%(pathGateways-1)))
