--- a/internal/node/statuscost_test.go
+++ b/internal/node/statuscost_test.go
@@ -33,7 +33,7 @@
 	costGroups        = 2
 	costRanks         = 32
 	costWarmUp        = 12 * time.Second
-	costDuration      = 12 * time.Second
+	costDuration      = 20 * time.Second
 	costRequestPeriod = time.Second * 10 / 44 // At the measured gateway.
 	costZones         = 3
 	costGroupName     = "g0-%d"
@@ -43,6 +43,16 @@
 type costPlan struct {
 	Gateways, Agents []string // Addresses.
 	Dir              string
+	// FailureZones says that the agents are in the zones of failureRig.
+	FailureZones bool
+}
+
+// zone returns the zone of agent i.
+func (p *costPlan) zone(i int) string {
+	if p.FailureZones {
+		return failureZone(i)
+	}
+	return costZone(i)
 }
 
 // costResult is what one process used while it was measured.
@@ -215,7 +225,12 @@
 
 func startCostAgent(t *testing.T, plan costPlan, i int) *mesh.Node {
 	t.Helper()
-	engine := &costEngine{group: costGroup(i), start: time.Now()}
+	return startAgent(t, plan, i, &costEngine{group: costGroup(i), start: time.Now()})
+}
+
+// startAgent runs agent i of a plan, whose server is engine.
+func startAgent(t *testing.T, plan costPlan, i int, engine rankagent.Engine) *mesh.Node {
+	t.Helper()
 	logger := costLogger()
 	agent := rankagent.New(rankagent.Options{
 		Server: costServer(i), Service: "svc", Log: logger.Logger,
@@ -227,7 +242,7 @@
 	})
 	node, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
-			ID: fmt.Sprintf("agent-%d", i), Address: plan.Agents[i], Role: mesh.RankAgent, Zone: costZone(i), Incarnation: uint64(time.Now().UnixNano()),
+			ID: fmt.Sprintf("agent-%d", i), Address: plan.Agents[i], Role: mesh.RankAgent, Zone: plan.zone(i), Incarnation: uint64(time.Now().UnixNano()),
 		},
 		Seeds: costSeeds(plan), Handler: agent.Handle, OnError: func(error) {},
 	})
--- a/internal/node/statuses.go
+++ b/internal/node/statuses.go
@@ -60,6 +60,9 @@
 	directory  *backends.Directory
 	log        *logging.Bounded
 
+	// disabledMechanism names a mechanism that a test switches off to see it fail.
+	disabledMechanism string
+
 	direct, digests, badDigests, unknownServers atomic.Uint64
 	relayChanges                                map[string]*atomic.Uint64 // By cause; not changed after the start.
 
@@ -89,13 +92,16 @@
 	relay      mesh.Peer
 	subscribed bool
 	// subscribedAt is when relay was chosen, sentAt when the last subscription was sent,
-	// digestAt and usefulAt when it last sent a digest and a useful one, and checkedAt
-	// when the choice was last checked.
+	// digestAt when it last sent a digest, usefulAt when it was last seen to pass on
+	// enough statuses, and checkedAt when the choice was last checked.
 	subscribedAt, sentAt, digestAt, usefulAt, checkedAt time.Time
 	period                                              time.Duration
-	// serversHash stands for the ranks and addresses of digests without addresses.
+	// serversHash stands for addresses, the servers by rank, in digests without them.
 	serversHash uint64
 	addresses   []string
+	// heardDirectly and relayed hold, by rank, when the agent was last heard directly,
+	// and when relay last passed on a status of it that was not old.
+	heardDirectly, relayed map[int]time.Time
 }
 
 // candidate is an agent that passes statuses on.
@@ -138,21 +144,13 @@
 // run subscribes to relays until ctx ends.
 func (f *statusFeed) run(ctx context.Context, meshNode *mesh.Node) {
 	clock.Every(ctx, feedTick, func(time.Time) {
-		if !f.hasGroups() {
-			return
-		}
-		for _, s := range f.tick(time.Now(), meshNode.Peers(mesh.Gateway)) {
+		gateways := func() []mesh.Peer { return meshNode.Peers(mesh.Gateway) }
+		for _, s := range f.tick(time.Now(), meshNode.Count(mesh.Gateway), gateways) {
 			meshNode.Send(&meshpb.Packet{StatusSubscription: s.message}, s.to)
 		}
 	})
 }
 
-func (f *statusFeed) hasGroups() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.groups) > 0
-}
-
 // handle takes in what a packet says of statuses.
 func (f *statusFeed) handle(from mesh.Peer, packet *meshpb.Packet, now time.Time) {
 	if s := packet.GetStatus(); s != nil {
@@ -173,11 +171,13 @@
 		if c.agent != from.ID || c.incarnation < from.Incarnation {
 			*c = serverClock{agent: from.ID, incarnation: from.Incarnation, usedAt: now}
 		}
-		readAt = c.clock.LocalTime(s.ReadMs, 0, now)
+		if f.disabledMechanism != "read-times" {
+			readAt = c.clock.LocalTime(s.ReadMs, 0, now)
+		}
 		f.noteAgent(from, s, now)
 		f.mu.Unlock()
 	}
-	if f.directory.UpdateStatus(s.Server, statusFromProto(s, readAt)) {
+	if f.directory.UpdateStatus(s.Server, f.status(s, readAt)) {
 		f.logChange(s.Server, s)
 	}
 }
@@ -201,10 +201,16 @@
 	}
 	g := f.groups[s.Group]
 	if g == nil {
-		g = &groupFeed{candidates: make(map[int]candidate), failedUntil: make(map[string]time.Time)}
+		g = &groupFeed{
+			candidates: make(map[int]candidate), failedUntil: make(map[string]time.Time),
+			heardDirectly: make(map[int]time.Time), relayed: make(map[int]time.Time),
+		}
 		f.groups[s.Group] = g
 	}
-	g.heardAt, g.size = now, size
+	if rank >= size {
+		return
+	}
+	g.heardAt, g.size, g.heardDirectly[rank] = now, size, now
 	if !rankagent.IsCandidate(rank, size) {
 		return
 	}
@@ -259,27 +265,61 @@
 	if isRelay {
 		g.digestAt, g.period = now, time.Duration(d.PeriodMs)*time.Millisecond
 	}
-	if g.serversHash != d.ServersHash || len(g.addresses) != len(entries) {
+	if g.serversHash != d.ServersHash || len(g.addresses) != int(d.Size) {
 		g.sentAt = time.Time{} // The next subscription says so at once.
 		return nil, false
 	}
 	statuses = make(map[string]backends.Status, len(entries))
-	recent := 0
-	for i, e := range entries {
-		address := g.addresses[i]
+	for _, e := range entries {
+		rank := int(e.Status.Rank)
+		address := g.addresses[rank]
+		if address == "" {
+			continue
+		}
 		e.Status.Server = address
 		readAt := f.serverClock(address, now).clock.LocalTime(e.Status.ReadMs, e.Age, now)
-		statuses[address] = statusFromProto(e.Status, readAt)
-		if now.Sub(readAt) < g.timeout() {
-			recent++
+		if f.disabledMechanism == "read-times" {
+			readAt = now
+		}
+		statuses[address] = f.status(e.Status, readAt)
+		if isRelay && now.Sub(readAt) < g.timeout() {
+			g.relayed[rank] = now
 		}
-	}
-	if isRelay && recent*2 >= len(entries) {
-		g.usefulAt = now
 	}
 	return statuses, true
 }
 
+// noteUseful records when the relay was last useful: since then it has passed on statuses of
+// at least half of the agents that are heard directly. A relay that is slow, or cut off from
+// others, does not. The caller holds the mutex of the feed.
+func (g *groupFeed) noteUseful(now time.Time) {
+	direct := 0
+	var relayed []time.Time
+	for rank := range g.size {
+		if now.Sub(g.heardDirectly[rank]) >= 2*rankagent.HeartbeatPeriod {
+			continue
+		}
+		direct++
+		if at := g.relayed[rank]; now.Sub(at) < g.timeout() {
+			relayed = append(relayed, at)
+		}
+	}
+	half := max(1, (direct+1)/2)
+	if len(relayed) >= half {
+		slices.SortFunc(relayed, func(a, b time.Time) int { return b.Compare(a) })
+		g.usefulAt = relayed[half-1]
+	}
+}
+
+// status converts the status of a server that was read at readAt.
+func (f *statusFeed) status(s *meshpb.RankStatus, readAt time.Time) backends.Status {
+	status := statusFromProto(s, readAt)
+	if f.disabledMechanism == "read-order" {
+		status.ReadStamp = 0
+	}
+	return status
+}
+
 // statusFromProto converts the status of a server that was read at readAt.
 func statusFromProto(s *meshpb.RankStatus, readAt time.Time) backends.Status {
 	return backends.Status{
@@ -303,9 +343,9 @@
 		Uint64("epoch", s.Epoch).Bool("up", s.Up).Bool("open", s.Open).Msg("")
 }
 
-// tick chooses relays and returns the subscriptions that are due. gateways are the other
-// live gateways.
-func (f *statusFeed) tick(now time.Time, gateways []mesh.Peer) []subscription {
+// tick chooses relays and returns the subscriptions that are due. count is the number of
+// live gateways, and gateways returns the other ones.
+func (f *statusFeed) tick(now time.Time, count int, gateways func() []mesh.Peer) []subscription {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for address, c := range f.servers {
@@ -319,7 +359,7 @@
 			delete(f.groups, name)
 			continue
 		}
-		if len(gateways)+1 < minRelayGateways {
+		if count < minRelayGateways {
 			g.subscribed = false
 			continue
 		}
@@ -339,16 +379,17 @@
 
 // checkRelay changes the relay of a group if there is none, it has left or failed, or
 // another one is preferred. The caller holds mu.
-func (f *statusFeed) checkRelay(name string, g *groupFeed, gateways []mesh.Peer, now time.Time) {
+func (f *statusFeed) checkRelay(name string, g *groupFeed, gateways func() []mesh.Peer, now time.Time) {
 	cause := ""
+	g.noteUseful(now)
 	switch {
 	case !g.subscribed:
 		cause = relayFirst
 	case !g.isCandidate(g.relay.ID):
 		cause = relayLeft
-	case now.Sub(later(g.subscribedAt, g.usefulAt)) >= g.timeout():
+	case now.Sub(later(g.subscribedAt, g.usefulAt)) >= g.timeout() && f.disabledMechanism != "relay-failover":
 		cause = relaySilent
-		if g.digestAt.After(g.usefulAt) {
+		if now.Sub(g.digestAt) < g.timeout() {
 			cause = relayStale
 		}
 		g.failedUntil[g.relay.ID] = now.Add(failedRelaySpan)
@@ -358,7 +399,7 @@
 		return
 	}
 	g.checkedAt = now
-	next, found := f.preferredRelay(g, gateways, now)
+	next, found := f.preferredRelay(g, gateways(), now)
 	if !found || g.subscribed && next.ID == g.relay.ID && next.Incarnation == g.relay.Incarnation && cause == relayPreferred {
 		return
 	}
@@ -366,6 +407,7 @@
 	f.log.Info().Str("event", "status_relay").Str("group", name).Str("relay", next.ID).Str("previous", g.relay.ID).Str("cause", cause).Msg("")
 	g.relay, g.subscribed, g.subscribedAt = next, true, now
 	g.sentAt, g.digestAt, g.usefulAt, g.period = time.Time{}, time.Time{}, time.Time{}, 0
+	clear(g.relayed)
 }
 
 func later(a, b time.Time) time.Time {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,8 +36,11 @@
 // PeerSet is the set of known processes. It is not safe for concurrent use.
 type PeerSet struct {
 	self Peer
-	// byID holds the other processes by ID.
+	// byID holds the other processes by ID, and ids their IDs in order.
 	byID map[string]Peer
+	ids  []string
+	// counts holds the number of other processes by role.
+	counts map[Role]int
 	// lifetime is how long a peer counts as alive after it was last seen.
 	lifetime time.Duration
 }
@@ -46,7 +48,7 @@
 // NewPeerSet returns a set that contains only self. Other peers expire after
 // lifetime.
 func NewPeerSet(self Peer, lifetime time.Duration) *PeerSet {
-	return &PeerSet{self: self, byID: make(map[string]Peer), lifetime: lifetime}
+	return &PeerSet{self: self, byID: make(map[string]Peer), counts: make(map[Role]int), lifetime: lifetime}
 }
 
 // Update adds or updates a peer, and reports whether it was unknown before or has started
@@ -60,6 +62,13 @@
 	if found && (old.Incarnation > peer.Incarnation || old.LastSeen.After(peer.LastSeen)) {
 		return false
 	}
+	if found {
+		s.counts[old.Role]--
+	} else {
+		i, _ := slices.BinarySearch(s.ids, peer.ID)
+		s.ids = slices.Insert(s.ids, i, peer.ID)
+	}
+	s.counts[peer.Role]++
 	s.byID[peer.ID] = peer
 	return !found || peer.Incarnation > old.Incarnation
 }
@@ -71,45 +80,45 @@
 		if now.Sub(peer.LastSeen) > s.lifetime {
 			expired = append(expired, peer)
 			delete(s.byID, id)
+			s.counts[peer.Role]--
 		}
 	}
+	if len(expired) > 0 {
+		s.ids = slices.DeleteFunc(s.ids, func(id string) bool { _, known := s.byID[id]; return !known })
+	}
 	return expired
 }
 
 // WithRole returns the other processes with the given role, sorted by ID.
 func (s *PeerSet) WithRole(role Role) []Peer {
-	var peers []Peer
-	for _, peer := range s.byID {
-		if peer.Role == role {
+	peers := make([]Peer, 0, s.counts[role])
+	for _, id := range s.ids {
+		if peer := s.byID[id]; peer.Role == role {
 			peers = append(peers, peer)
 		}
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
 	return peers
 }
 
 // Count returns the number of processes with the given role, including this one.
 func (s *PeerSet) Count(role Role) int {
-	count := 0
-	for _, peer := range s.byID {
-		if peer.Role == role {
-			count++
-		}
-	}
+	count := s.counts[role]
 	if s.self.Role == role {
 		count++
 	}
 	return count
 }
 
-// Sample returns up to n other processes, drawn at random. It sorts them before
-// shuffling, so that the result depends on rng and not on the order of the map.
+// Sample returns up to n other processes, drawn at random. It draws from a sorted list, so
+// that the result depends on rng and not on the order of the map.
 func (s *PeerSet) Sample(n int, rng *rand.Rand) []Peer {
-	peers := make([]Peer, 0, len(s.byID))
-	for _, peer := range s.byID {
-		peers = append(peers, peer)
+	n = min(n, len(s.ids))
+	peers := make([]Peer, 0, n)
+	drawn := slices.Clone(s.ids)
+	for i := range n {
+		j := i + rng.IntN(len(drawn)-i)
+		drawn[i], drawn[j] = drawn[j], drawn[i]
+		peers = append(peers, s.byID[drawn[i]])
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
-	rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(n, len(peers))]
+	return peers
 }
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -259,10 +259,13 @@
 }
 
 // relayedPeriod returns the time between two statuses to the candidates of a large group
-// while gateways get digests. Reads come at ticks of fastReportPeriod, some of them early.
-// The caller holds a.mu.
+// while gateways get digests. With the period of the digests it gives statuses the same
+// mean age at gateways as one each statusPeriod, or a lower one. Reads come at ticks of
+// fastReportPeriod, some of them early. The caller holds a.mu.
 func (a *Agent) relayedPeriod() time.Duration {
-	return max(relayedStatusPeriod, relayedStatusPerRank*time.Duration(a.report.Group.Size)) - fastReportPeriod/2
+	period := a.statusPeriod()
+	relayed := max(reportPeriod, min(period-digestPeriod, max(2*reportPeriod, period/2)))
+	return max(relayed, relayedStatusPerRank*time.Duration(a.report.Group.Size)) - fastReportPeriod/2
 }
 
 // equalExceptPass reports whether two states of a rank are equal except for the
--- a/rankagent/digest.go
+++ b/rankagent/digest.go
@@ -10,9 +10,9 @@
 
 // Units and bits of meshpb.StatusDigest.
 const (
-	digestUp   = 1
-	digestOpen = 2
-	paceDivide = 10
+	digestDown   = 1
+	digestClosed = 2
+	paceDivide   = 10
 )
 
 // maxDigestRanks is the greatest number of entries of a digest that is accepted.
@@ -26,13 +26,17 @@
 	Age time.Duration
 }
 
-// encodeDigest returns a digest of the statuses of one group, which are sorted by rank and
-// of one epoch. With servers, it contains the addresses.
-func encodeDigest(entries []DigestEntry, period time.Duration, servers bool) *meshpb.StatusDigest {
+// EncodeDigest returns a digest of statuses of one group, which are sorted by rank and of
+// one epoch. servers are the addresses of all ranks, which the digest contains if
+// withServers is set.
+func EncodeDigest(entries []DigestEntry, servers []string, withServers bool, period time.Duration) *meshpb.StatusDigest {
 	first := entries[0].Status
 	d := &meshpb.StatusDigest{
-		Group: first.Group, Epoch: first.Epoch, Size: first.Size, PassUs: first.PassUs, ReadMs: first.ReadMs,
-		PeriodMs: uint32(period.Milliseconds()), ServersHash: hashServers(entries),
+		Group: first.Group, Epoch: first.Epoch, Size: uint32(len(servers)), PassUs: first.PassUs, ReadMs: first.ReadMs,
+		PeriodMs: uint32(period.Milliseconds()), ServersHash: hashServers(servers),
+	}
+	if withServers {
+		d.Servers = servers
 	}
 	for _, e := range entries {
 		d.Step = max(d.Step, e.Status.Step)
@@ -40,11 +44,11 @@
 	for _, e := range entries {
 		s := e.Status
 		var flags uint32
-		if s.Up {
-			flags |= digestUp
+		if !s.Up {
+			flags |= digestDown
 		}
-		if s.Open {
-			flags |= digestOpen
+		if !s.Open {
+			flags |= digestClosed
 		}
 		d.Flags = append(d.Flags, flags)
 		d.Running = append(d.Running, s.Running)
@@ -54,29 +58,52 @@
 		d.PaceDiff = append(d.PaceDiff, (int32(s.PaceMilli)-paceUnit)/paceDivide)
 		d.AgeMs = append(d.AgeMs, uint32(max(0, (e.Age+time.Millisecond-1).Milliseconds()))) // Rounded up.
 		d.ReadMsDiff = append(d.ReadMsDiff, s.ReadMs-d.ReadMs)
-		if servers {
-			d.Servers = append(d.Servers, s.Server)
-		}
-		if len(entries) < int(d.Size) {
+		if len(entries) < len(servers) {
 			d.Ranks = append(d.Ranks, s.Rank)
 		}
 	}
+	d.Flags, d.Running, d.Waiting = unlessZero(d.Flags), unlessZero(d.Running), unlessZero(d.Waiting)
+	d.StepsBehind, d.PassUsDiff, d.PaceDiff = unlessZero(d.StepsBehind), unlessZero(d.PassUsDiff), unlessZero(d.PaceDiff)
 	return d
 }
 
+// unlessZero returns values, or nil if all of them are zero.
+func unlessZero[T comparable](values []T) []T {
+	var zero T
+	for _, v := range values {
+		if v != zero {
+			return values
+		}
+	}
+	return nil
+}
+
+// valueAt returns a value of a field that is empty if all values are zero.
+func valueAt[T any](values []T, i int) T {
+	if len(values) == 0 {
+		var zero T
+		return zero
+	}
+	return values[i]
+}
+
 var errBadDigest = errors.New("rankagent: digest with inconsistent entries")
 
 // DecodeDigest returns the entries of a digest.
 func DecodeDigest(d *meshpb.StatusDigest) ([]DigestEntry, error) {
-	n := len(d.Flags)
-	for _, length := range []int{len(d.Running), len(d.Waiting), len(d.StepsBehind), len(d.PassUsDiff), len(d.PaceDiff), len(d.AgeMs), len(d.ReadMsDiff)} {
-		if length != n {
+	n := len(d.AgeMs)
+	if n == 0 || n > int(d.Size) || d.Size > maxDigestRanks || d.Group == "" || len(d.ReadMsDiff) != n {
+		return nil, errBadDigest
+	}
+	if len(d.Ranks) != n && !(len(d.Ranks) == 0 && n == int(d.Size)) || len(d.Servers) != 0 && len(d.Servers) != int(d.Size) {
+		return nil, errBadDigest
+	}
+	for _, length := range []int{len(d.Flags), len(d.Running), len(d.Waiting), len(d.StepsBehind), len(d.PassUsDiff), len(d.PaceDiff)} {
+		if length != n && length != 0 {
 			return nil, errBadDigest
 		}
 	}
-	allRanks := len(d.Ranks) == 0
-	if n == 0 || n > maxDigestRanks || d.Group == "" || d.Size > maxDigestRanks || n > int(d.Size) ||
-		allRanks && n != int(d.Size) || !allRanks && len(d.Ranks) != n || len(d.Servers) != 0 && len(d.Servers) != n {
+	if len(d.Servers) != 0 && hashServers(d.Servers) != d.ServersHash {
 		return nil, errBadDigest
 	}
 	entries := make([]DigestEntry, n)
@@ -84,18 +111,19 @@
 	for i := range entries {
 		s := &statuses[i]
 		rank := uint32(i)
-		if !allRanks {
+		if len(d.Ranks) != 0 {
 			rank = d.Ranks[i]
 		}
-		passUs := int64(d.PassUs) + d.PassUsDiff[i]
-		pace := paceUnit + int64(d.PaceDiff[i])*paceDivide
-		if rank >= d.Size || d.StepsBehind[i] > d.Step || passUs < 0 || passUs > maxPassUs || pace < 0 {
+		behind, passUs := valueAt(d.StepsBehind, i), int64(d.PassUs)+valueAt(d.PassUsDiff, i)
+		pace := paceUnit + int64(valueAt(d.PaceDiff, i))*paceDivide
+		if rank >= d.Size || behind > d.Step || passUs < 0 || passUs > maxPassUs || pace < 0 {
 			return nil, errBadDigest
 		}
+		flags := valueAt(d.Flags, i)
 		s.Group, s.Epoch, s.Size, s.Rank = d.Group, d.Epoch, d.Size, rank
-		s.Up, s.Open = d.Flags[i]&digestUp != 0, d.Flags[i]&digestOpen != 0
-		s.Running, s.Waiting = d.Running[i], d.Waiting[i]
-		s.Step, s.PassUs, s.PaceMilli = d.Step-d.StepsBehind[i], uint32(passUs), uint32(pace)
+		s.Up, s.Open = flags&digestDown == 0, flags&digestClosed == 0
+		s.Running, s.Waiting = valueAt(d.Running, i), valueAt(d.Waiting, i)
+		s.Step, s.PassUs, s.PaceMilli = d.Step-behind, uint32(passUs), uint32(pace)
 		s.ReadMs = d.ReadMs + d.ReadMsDiff[i]
 		entries[i] = DigestEntry{Status: s, Age: time.Duration(d.AgeMs[i]) * time.Millisecond}
 	}
@@ -105,14 +133,12 @@
 // maxPassUs is the greatest time of a pass that fits the field of a status.
 const maxPassUs = 1<<32 - 1
 
-// hashServers returns a hash of the ranks and the addresses of a digest, so that the
-// addresses need not be repeated. It is not 0.
-func hashServers(entries []DigestEntry) uint64 {
+// hashServers returns a hash of the addresses of the servers of a group, so that digests
+// need not repeat them. It is not 0.
+func hashServers(servers []string) uint64 {
 	h := fnv.New64a()
-	for _, e := range entries {
-		rank := e.Status.Rank
-		_, _ = h.Write([]byte{byte(rank >> 8), byte(rank)}) // Write of a hash never fails.
-		_, _ = h.Write([]byte(e.Status.Server))
+	for _, address := range servers {
+		_, _ = h.Write([]byte(address)) // Write of a hash never fails.
 		_, _ = h.Write([]byte{0})
 	}
 	return h.Sum64() | 1
--- a/rankagent/statusrelay.go
+++ b/rankagent/statusrelay.go
@@ -9,21 +9,20 @@
 )
 
 const (
-	// relayedStatusPeriod is the time between two statuses to the candidates of a large
-	// group while gateways get digests. With more ranks than fit relayedStatusPerRank it
-	// grows, so that a candidate gets at most some 330 statuses a second.
-	relayedStatusPeriod  = reportPeriod
+	// relayedStatusPerRank times the number of ranks is the least time between two
+	// statuses to the candidates of a large group while gateways get digests, so that a
+	// candidate gets at most some 330 a second.
 	relayedStatusPerRank = 3 * time.Millisecond
 	// digestPeriod is the least time between two digests, and digestPeriodPerGateway
-	// times the number of subscribed gateways too. 40 digests a second of a group of 32
-	// ranks take some 18 KB/s.
+	// times the number of subscribed gateways too, so that a candidate sends at most 80
+	// a second.
 	digestPeriod           = 100 * time.Millisecond
-	digestPeriodPerGateway = 25 * time.Millisecond
+	digestPeriodPerGateway = 12500 * time.Microsecond
 	// subscriptionLifetime is how long digests are sent after a subscription.
 	subscriptionLifetime = 1500 * time.Millisecond
 	// HeartbeatPeriod is the time between two direct statuses to a gateway that gets
 	// digests. It is below the 1.5 s for which gateways use a status.
-	HeartbeatPeriod = 1200 * time.Millisecond
+	HeartbeatPeriod = 1300 * time.Millisecond
 	// servedLifetime and servedPeriods bound, in time and in status periods of which the
 	// greater counts, how long an agent believes a candidate that it serves a gateway.
 	servedLifetime = 1200 * time.Millisecond
@@ -66,6 +65,8 @@
 	incarnation uint64
 	clock       mesh.ReadClock
 	readAt      time.Time
+	// isNew is set until the status was in a digest to all subscribers.
+	isNew bool
 }
 
 // subscriber is a gateway that gets digests.
@@ -109,7 +110,7 @@
 	case !sameAgent || from.Incarnation > e.incarnation:
 		e = relayedStatus{agent: from.ID, incarnation: from.Incarnation}
 	}
-	e.status, e.readAt = s, e.clock.LocalTime(s.ReadMs, 0, now)
+	e.status, e.readAt, e.isNew = s, e.clock.LocalTime(s.ReadMs, 0, now), true
 	r.latest[int(s.Rank)] = e
 }
 
@@ -219,8 +220,9 @@
 	}
 }
 
-// sendDigests sends a digest to all subscribers when the period is over, and else only to
-// new ones. It returns the time until the next digest, or 0 if there are no subscribers.
+// sendDigests sends what is new to all subscribers when the period is over, and a whole
+// digest to those that are new or do not know the servers. It returns the time until the
+// next digest, or 0 if there are no subscribers.
 func (a *Agent) sendDigests(now time.Time) time.Duration {
 	a.mu.Lock()
 	a.expireSubscribers(now)
@@ -231,54 +233,75 @@
 	}
 	period := max(digestPeriod, digestPeriodPerGateway*time.Duration(len(r.subscribers)))
 	due := now.Sub(r.digestAt) >= period
+	all, changed := a.digestEntries(now, due)
 	if due {
 		r.digestAt = now
 	}
-	entries := a.digestEntries(now)
+	servers := a.serverAddresses()
+	hash := hashServers(servers)
 	var knowing, lacking []mesh.Peer
-	if len(entries) > 0 {
-		servers := hashServers(entries)
-		for id, s := range r.subscribers {
-			if s.sent && !due {
-				continue
-			}
-			s.sent = true
-			r.subscribers[id] = s
-			if s.knownServers == servers {
-				knowing = append(knowing, s.peer)
-			} else {
-				lacking = append(lacking, s.peer)
-			}
+	for id, s := range r.subscribers {
+		switch {
+		case s.sent && !due:
+		case s.sent && s.knownServers == hash:
+			knowing = append(knowing, s.peer)
+		default:
+			lacking = append(lacking, s.peer)
 		}
+		s.sent = true
+		r.subscribers[id] = s
 	}
 	wait := max(r.digestAt.Add(period).Sub(now), time.Millisecond)
 	a.mu.Unlock()
-	if len(knowing) > 0 {
-		a.mesh.Send(&meshpb.Packet{StatusDigest: encodeDigest(entries, period, false)}, knowing...)
+	if len(knowing) > 0 && len(changed) > 0 {
+		a.mesh.Send(&meshpb.Packet{StatusDigest: EncodeDigest(changed, servers, false, period)}, knowing...)
+		a.metrics.digestsSent.Add(len(knowing))
 	}
-	if len(lacking) > 0 {
-		a.mesh.Send(&meshpb.Packet{StatusDigest: encodeDigest(entries, period, true)}, lacking...)
+	if len(lacking) > 0 && len(all) > 0 {
+		a.mesh.Send(&meshpb.Packet{StatusDigest: EncodeDigest(all, servers, true, period)}, lacking...)
+		a.metrics.digestsSent.Add(len(lacking))
 	}
-	a.metrics.digestsSent.Add(len(knowing) + len(lacking))
 	return wait
 }
 
-// digestEntries returns the statuses of the latest epoch that are not too old, by rank. The
-// caller holds a.mu.
-func (a *Agent) digestEntries(now time.Time) []DigestEntry {
+// digestEntries returns the statuses of the latest epoch that are not too old, by rank, and
+// those of them that are new. With take, these are not new any more. The caller holds a.mu.
+func (a *Agent) digestEntries(now time.Time, take bool) (all, changed []DigestEntry) {
+	if a.relay.group != a.report.Group.Name {
+		return nil, nil
+	}
 	var epoch uint64
-	fresh := func(e relayedStatus, found bool) bool { return found && now.Sub(e.readAt) <= maxRelayedAge }
 	for _, e := range a.relay.latest {
-		if fresh(e, true) {
+		if now.Sub(e.readAt) <= maxRelayedAge {
 			epoch = max(epoch, e.status.Epoch)
 		}
 	}
-	var out []DigestEntry
 	for rank := range a.report.Group.Size {
 		e, found := a.relay.latest[rank]
-		if fresh(e, found) && e.status.Epoch == epoch && a.relay.group == a.report.Group.Name {
-			out = append(out, DigestEntry{Status: e.status, Age: now.Sub(e.readAt)})
+		if !found || now.Sub(e.readAt) > maxRelayedAge || e.status.Epoch != epoch {
+			continue
+		}
+		entry := DigestEntry{Status: e.status, Age: now.Sub(e.readAt)}
+		all = append(all, entry)
+		if e.isNew {
+			changed = append(changed, entry)
+		}
+		if take {
+			e.isNew = false
+			a.relay.latest[rank] = e
 		}
 	}
-	return out
+	return all, changed
+}
+
+// serverAddresses returns the addresses of the group's servers by rank, as far as they are
+// known. The caller holds a.mu.
+func (a *Agent) serverAddresses() []string {
+	servers := make([]string, a.report.Group.Size)
+	for rank := range servers {
+		if e, found := a.relay.latest[rank]; found {
+			servers[rank] = e.status.Server
+		}
+	}
+	return servers
 }
