--- a/internal/node/statuscost_test.go
+++ b/internal/node/statuscost_test.go
@@ -59,6 +59,7 @@
 type costResult struct {
 	Role              string
 	CPUMillisPerS     float64
+	SystemMillisPerS  float64
 	SwitchesPerS      float64
 	SentPerS, SentKBs float64
 	RecvPerS, RecvKBs float64
@@ -131,23 +132,29 @@
 	}
 	time.Sleep(costWarmUp)
 	profile, err := os.Create(filepath.Join(plan.Dir, role+".pprof"))
+	profiling := os.Getenv("BBW_STATUS_COST_PROFILE") != ""
 	assert.NilError(t, err)
-	assert.NilError(t, pprof.StartCPUProfile(profile))
+	if profiling {
+		assert.NilError(t, pprof.StartCPUProfile(profile))
+	}
 	before, usedBefore := node.Traffic(), usage(t)
 	ages, oldest := sampleAges(directory, costDuration)
 	used, after := usage(t), node.Traffic()
-	pprof.StopCPUProfile()
+	if profiling {
+		pprof.StopCPUProfile()
+	}
 	assert.NilError(t, profile.Close())
 	seconds := costDuration.Seconds()
 	result := costResult{
-		Role:          role,
-		CPUMillisPerS: float64((cpuOf(used) - cpuOf(usedBefore)).Microseconds()) / 1000 / seconds,
-		SwitchesPerS:  float64(used.Nvcsw-usedBefore.Nvcsw) / seconds,
-		SentPerS:      float64(after.SentDatagrams-before.SentDatagrams) / seconds,
-		SentKBs:       float64(after.SentBytes-before.SentBytes) / 1000 / seconds,
-		RecvPerS:      float64(after.ReceivedDatagrams-before.ReceivedDatagrams) / seconds,
-		RecvKBs:       float64(after.ReceivedBytes-before.ReceivedBytes) / 1000 / seconds,
-		StatusAgeMs:   ages, OldestStatusMs: oldest,
+		Role:             role,
+		CPUMillisPerS:    float64((cpuOf(used) - cpuOf(usedBefore)).Microseconds()) / 1000 / seconds,
+		SystemMillisPerS: float64(used.Stime.Nano()-usedBefore.Stime.Nano()) / 1e6 / seconds,
+		SwitchesPerS:     float64(used.Nvcsw-usedBefore.Nvcsw) / seconds,
+		SentPerS:         float64(after.SentDatagrams-before.SentDatagrams) / seconds,
+		SentKBs:          float64(after.SentBytes-before.SentBytes) / 1000 / seconds,
+		RecvPerS:         float64(after.ReceivedDatagrams-before.ReceivedDatagrams) / seconds,
+		RecvKBs:          float64(after.ReceivedBytes-before.ReceivedBytes) / 1000 / seconds,
+		StatusAgeMs:      ages, OldestStatusMs: oldest,
 	}
 	text, err := json.Marshal(result)
 	assert.NilError(t, err)
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -89,8 +89,8 @@
 	// is when the server last got an order.
 	reportReadAt, orderedAt time.Time
 	// candidatesSentAt is when the group's candidates last got a status, heartbeatAt when
-	// the gateways that get digests last got one directly.
-	candidatesSentAt, heartbeatAt time.Time
+	// all gateways last got one directly, and unservedAt when those without digests did.
+	candidatesSentAt, heartbeatAt, unservedAt time.Time
 	// clock states when the server was read; lastReadMs is the last such time.
 	clock      clock.Clock
 	lastReadMs int64
@@ -242,20 +242,22 @@
 	due := now.Sub(a.statusSentAt) >= a.statusPeriod()
 	relayed := a.anyServed(now)
 	heartbeat := relayed && now.Sub(a.heartbeatAt) >= max(HeartbeatPeriod, a.statusPeriod())
+	candidatesDue := relayed && now.Sub(a.candidatesSentAt) >= a.relayedPeriod()
 	switch {
-	case changed || forced || due:
+	case changed || forced || due && (!relayed || candidatesDue): // Candidates get no datagram in between for it.
 		toGroup = true
 		a.statusSentAt, a.candidatesSentAt = now, now
 		peers = a.leader.statusPeers()
-	case relayed && now.Sub(a.candidatesSentAt) >= a.relayedPeriod():
+	case candidatesDue:
 		a.candidatesSentAt = now
 		peers = a.leader.candidatePeers()
 	}
 	switch {
 	case toAll || heartbeat || due && !relayed:
-		a.heartbeatAt = now
+		a.heartbeatAt, a.unservedAt = now, now
 		gateways = a.mesh.Peers(mesh.Gateway)
-	case due:
+	case relayed && now.Sub(a.unservedAt) >= a.statusPeriod():
+		a.unservedAt = now
 		gateways = a.withoutServed(a.mesh.Peers(mesh.Gateway), now)
 	}
 	return toGroup, peers, gateways
