--- a/backends/directory.go
+++ b/backends/directory.go
@@ -291,13 +291,35 @@
 }
 
 // UpdateStatus stores the status that an agent read from the server at an
-// address. A status of an older epoch than the stored one is ignored if the
-// server is up in both. UpdateStatus returns whether the address is new or its
-// Up or Open value changed.
+// address. A status that was read before the stored one, or is of an older epoch
+// although the server is up in both, is ignored. UpdateStatus returns whether the
+// address is new or its Up or Open value changed.
 func (d *Directory) UpdateStatus(address string, s Status) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.updateStatus(address, s)
+}
+
+// UpdateStatuses stores the statuses of the servers at several addresses, see
+// UpdateStatus. It returns the indexes of those that are new or whose Up or Open value
+// changed.
+func (d *Directory) UpdateStatuses(addresses []string, statuses []Status) (changed []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, address := range addresses {
+		if d.updateStatus(address, statuses[i]) {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
+// updateStatus implements UpdateStatus. The caller holds the lock.
+func (d *Directory) updateStatus(address string, s Status) (changed bool) {
 	old, known := d.statuses[address]
+	if known && s.ReadStamp != 0 && old.ReadStamp != 0 && s.ReadStamp <= old.ReadStamp {
+		return false
+	}
 	if known && s.Up && old.Up && s.Group.Epoch < old.Group.Epoch {
 		return false
 	}
--- a/rankagent/metrics.go
+++ b/rankagent/metrics.go
@@ -15,6 +15,8 @@
 	// ordersRepeated counts the orders to prepare a map that were repeated because the
 	// local server did not answer.
 	ordersRepeated *metrics.Counter
+	// digestsSent counts the digests of the group that were sent to gateways.
+	digestsSent *metrics.Counter
 	// skew is the skew of the map in use at the last plan, see groupmap.Skew, in
 	// thousandths.
 	skew atomic.Int64
@@ -28,6 +30,12 @@
 		set: set, switches: set.NewCounter("bluebellwind_map_switches_total"),
 		ordersRepeated: set.NewCounter("bluebellwind_rank_orders_repeated_total"),
 	}
+	m.digestsSent = set.NewCounter("bluebellwind_status_digests_sent_total")
+	set.NewGauge("bluebellwind_status_subscribers", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return float64(len(a.relay.subscribers))
+	})
 	set.NewGauge("bluebellwind_rank_skew", func() float64 { return float64(m.skew.Load()) / 1000 })
 	set.NewGauge("bluebellwind_rank_relative_pass_time", func() float64 { return float64(m.relativePassTime.Load()) / paceUnit })
 	set.NewGauge("bluebellwind_rank_up", func() float64 {
