Keep requests in the regions that their route and organisation allow

allowed_regions of routes and organisations was not read, so requests could reach any region. The gateway intersects both lists when it admits a request, and the directory leaves other servers out of each choice and out of the slots that decide on the wait: the region of a zone comes from the settings field zones. A zone without a known region is not allowed. Without an allowed server callers get 503, not run, without Retry-After and with the code region_not_allowed. Names of unknown regions are logged once.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -53,6 +53,8 @@
 	// known, and no server is chosen.
 	evacuated         map[string]bool
 	awaitsEvacuations bool
+	// regions holds the region of each zone that the settings name.
+	regions map[string]string
 }
 
 // heldServer is a published server that is not used before until.
@@ -434,6 +436,10 @@
 	outdated  bool
 	updatedAt time.Time
 	// groupLoads are the loads of the groups that may be chosen, by group name; nil
-	// for plain services.
-	groupLoads map[string]groupLoad
+	// for plain services. candidates are the servers that they were derived from, and
+	// regionLoads the loads of the servers in some regions only, by the
+	// list of regions.
+	groupLoads  map[string]groupLoad
+	candidates  []routing.Candidate
+	regionLoads map[string]map[string]groupLoad
 }
--- a/backends/evacuation.go
+++ b/backends/evacuation.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -63,7 +64,7 @@
 	return d.evacuated[s.Zone]
 }
 
-// KnowsZone reports whether a zone is the own one or that of a server.
+// KnowsZone reports whether a zone is the own one, that of a server, or one with a region.
 func (d *Directory) KnowsZone(zone string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -75,32 +76,41 @@
 			return true
 		}
 	}
-	return false
+	return d.regions[zone] != ""
 }
 
-// checkEvacuations returns a refusal if the evacuated zones are not known yet, or if the
-// service has servers in evacuated zones only. It is not known when an evacuation ends, so
-// that refusal has no retry time. The caller holds the lock.
-func (d *Directory) checkEvacuations(r *PickRequest) error {
+// checkServers returns a refusal if the evacuated zones are not known yet, or if the service
+// has servers but none that the request may use, because of their regions or because their
+// zones are evacuated. It is not known when that ends, so that refusal has no retry time.
+// The caller holds the lock.
+func (d *Directory) checkServers(r *PickRequest) error {
 	if d.awaitsEvacuations {
 		return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the evacuated zones are not known yet").
 			WithRetryAfter(d.withJitter(zonesRetryAfter, zonesRetryJitter))
 	}
-	if len(d.evacuated) == 0 {
+	if len(d.evacuated) == 0 && r.HomeRegions == nil {
 		return nil
 	}
-	evacuated := false
+	servers, allowed := 0, 0
 	for _, e := range d.servers {
 		if e.Service != r.ServiceName || e.Draining || d.withdrawals.isLeaving(&e.Server) {
 			continue
 		}
+		servers++
+		if !d.allowed(r, e) {
+			continue
+		}
 		if !d.evacuated[e.Zone] {
 			return nil
 		}
-		evacuated = true
+		allowed++
 	}
-	if !evacuated {
+	switch {
+	case servers == 0:
 		return nil
+	case allowed == 0:
+		cause := fmt.Errorf("%d servers, allowed regions: %q", servers, r.HomeRegions)
+		return verdict.Wrap(verdict.RegionNotAllowed, verdict.NotRun, "no server of the service is in a region that is allowed for this request", cause)
 	}
-	return verdict.Refuse(verdict.ZoneEvacuated, verdict.NotRun, "all zones with servers of the service are evacuated")
+	return verdict.Refuse(verdict.ZoneEvacuated, verdict.NotRun, "all zones with servers for this request are evacuated")
 }
--- a/backends/limits.go
+++ b/backends/limits.go
@@ -100,12 +100,12 @@
 // because of the limits of servers: each caller is told the time of another request that
 // this gateway may send. ok is false if limits are not the reason. The caller holds the
 // lock.
-func (d *Directory) retryAfterLimits(service string, now time.Time) (after time.Duration, ok bool) {
+func (d *Directory) retryAfterLimits(r *PickRequest, now time.Time) (after time.Duration, ok bool) {
 	closed := d.closedGroups(now)
 	var first time.Time
 	perSecond := 0.0
 	for _, e := range d.servers {
-		if e.Service != service || e.Draining || d.withdrawals.isLeaving(&e.Server) || d.excluded(e, closed, now) {
+		if e.Service != r.ServiceName || !d.allowed(r, e) || e.Draining || d.withdrawals.isLeaving(&e.Server) || d.excluded(e, closed, now) {
 			continue
 		}
 		next, interval, sends := d.limits.Next(e.limitKey())
@@ -121,9 +121,9 @@
 		return 0, false
 	}
 	spacing := time.Duration(float64(time.Second) / perSecond)
-	if next := d.promised[service].Add(spacing); next.After(first) {
+	if next := d.promised[r.ServiceName].Add(spacing); next.After(first) {
 		first = next
 	}
-	d.promised[service] = first
+	d.promised[r.ServiceName] = first
 	return first.Sub(now), true
 }
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -71,6 +71,8 @@
 	GatewayCount int
 	// AvoidGroups are the groups in which the request has failed before.
 	AvoidGroups []string
+	// HomeRegions are the regions whose servers may get the request; nil if all may.
+	HomeRegions []string
 }
 
 // usesEngine reports whether the servers are model engines. Plain services report
@@ -121,12 +123,13 @@
 		view := d.routingView(&r, now)
 		t.table.Update(view)
 		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
+		t.candidates, t.regionLoads = view.Candidates, make(map[string]map[string]groupLoad)
 		t.outdated, t.updatedAt = false, now
 	}
-	if refusal := d.checkEvacuations(&r); refusal != nil {
+	if refusal := d.checkServers(&r); refusal != nil {
 		return nil, refusal
 	}
-	excluded := d.serversInGroups(r.AvoidGroups)
+	excluded := append(d.serversInGroups(r.AvoidGroups), d.serversElsewhere(&r)...)
 	var expectedWait time.Duration
 	if r.usesEngine() {
 		admitted, otherServers, err := d.admit(&r, t, now)
@@ -137,12 +140,12 @@
 	}
 	choice, err := t.table.Pick(routing.Request{PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...)}, now)
 	if err != nil {
-		if after, limited := d.retryAfterLimits(r.ServiceName, now); limited {
+		if after, limited := d.retryAfterLimits(&r, now); limited {
 			return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the backend servers limit their requests").WithRetryAfter(after)
 		}
 		cause := fmt.Errorf("%d servers known, closed groups: %v", len(d.servers), slices.Sorted(maps.Keys(d.closedGroups(now))))
 		return nil, verdict.Wrap(verdict.Unavailable, verdict.NotRun, "no backend server can take this request", cause).
-			WithRetryAfter(d.retryAfterUnavailable(r.ServiceName, now))
+			WithRetryAfter(d.retryAfterUnavailable(&r, now))
 	}
 	e := d.servers[choice.Server]
 	if e == nil {
@@ -164,7 +167,8 @@
 // admitted request must not use because they belong to the other pool. The error is
 // as for Pick. The caller holds the lock.
 func (d *Directory) admit(r *PickRequest, t *serviceTable, now time.Time) (admitted decision, otherServers []string, err error) {
-	onTime, late := d.pools(r, t, now)
+	loads := d.loadsFor(r, t)
+	onTime, late := d.pools(r, loads, now)
 	if onTime.groups+late.groups == 0 {
 		return decision{}, nil, nil // The table's Pick returns the reason.
 	}
@@ -177,7 +181,7 @@
 			WithRetryAfter(d.retryAfterOverload(admitted.expectedWait))
 	}
 	var otherGroups []string
-	for name, g := range t.groupLoads {
+	for name, g := range loads {
 		if g.late != admitted.latePool {
 			otherGroups = append(otherGroups, name)
 		}
@@ -188,10 +192,10 @@
 // pools combines the groups that the request may use into the pool of groups that
 // are on time and the pool of late ones. Stalled groups are included only if there
 // are no others. The caller holds the lock.
-func (d *Directory) pools(r *PickRequest, t *serviceTable, now time.Time) (onTime, late *pool) {
+func (d *Directory) pools(r *PickRequest, loads map[string]groupLoad, now time.Time) (onTime, late *pool) {
 	for _, stalled := range []bool{false, true} {
 		onTime, late = &pool{}, &pool{}
-		for name, load := range t.groupLoads {
+		for name, load := range loads {
 			if load.stalled != stalled || slices.Contains(r.AvoidGroups, name) {
 				continue
 			}
--- a/backends/retryafter.go
+++ b/backends/retryafter.go
@@ -8,13 +8,13 @@
 // no server can be chosen. A broken group needs seconds to reopen, and servers that
 // want no requests for a time state that time; a server that is excluded on its own is
 // tried again sooner. The caller holds the lock.
-func (d *Directory) retryAfterUnavailable(service string, now time.Time) time.Duration {
-	if backoff := d.shortestBackoff(service, now); backoff > 0 {
+func (d *Directory) retryAfterUnavailable(r *PickRequest, now time.Time) time.Duration {
+	if backoff := d.shortestBackoff(r, now); backoff > 0 {
 		return d.withJitter(backoff, plainRetryJitter)
 	}
 	closed := d.closedGroups(now)
 	for _, e := range d.servers {
-		if e.Service == service && !d.evacuated[e.Zone] && e.Group.Name != "" && closed[e.Group.Name] {
+		if e.Service == r.ServiceName && d.usable(r, e) && e.Group.Name != "" && closed[e.Group.Name] {
 			return d.withJitter(groupRetryAfter, groupRetryJitter)
 		}
 	}
@@ -23,11 +23,11 @@
 
 // shortestBackoff returns after what time the first server of a service takes requests
 // again, if all of them want none for a time; zero otherwise. Servers that leave and those
-// in evacuated zones do not count. The caller holds the lock.
-func (d *Directory) shortestBackoff(service string, now time.Time) time.Duration {
+// that the request may not use do not count. The caller holds the lock.
+func (d *Directory) shortestBackoff(r *PickRequest, now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, e := range d.servers {
-		if e.Service != service || e.Draining || d.evacuated[e.Zone] || d.withdrawals.isLeaving(&e.Server) {
+		if e.Service != r.ServiceName || e.Draining || !d.usable(r, e) || d.withdrawals.isLeaving(&e.Server) {
 			continue
 		}
 		backoff := d.withdrawals.backoff(&e.Server, now)
--- a/discovery/evacuation_test.go
+++ b/discovery/evacuation_test.go
@@ -14,6 +14,7 @@
 
 	"bluebellwind.example/backends"
 	"bluebellwind.example/discovery/discoverypb"
+	"bluebellwind.example/ingress"
 	"bluebellwind.example/internal/logging"
 )
 
@@ -198,3 +199,22 @@
 	assert.DeepEqual(t, used, []string{"new"})
 	assert.Assert(t, strings.Contains(log.String(), "zone=new change=began era=1 revision=31"), "%s", log.String())
 }
+
+// A misspelt region refuses all requests of its route, so it must be found in the log, once.
+func TestUnknownRegionsAreLoggedOnce(t *testing.T) {
+	now := time.Minute
+	var log bytes.Buffer
+	directory := backends.NewDirectory("z", 1)
+	directory.SetRegions(map[string]string{"za": "east", "zb": ""})
+	f := NewFollower(&fakeSource{}, directory, PeerAddresses{}, logging.New(&log, "info"))
+	f.uptime = func() time.Duration { return now }
+	for version := range int64(3) {
+		c := newConfig(7 + version)
+		c.Routes[0].AllowedRegions = []string{"east", "eats"}
+		c.Organisations = []ingress.Organisation{{Name: "north", AllowedRegions: []string{"eats", ""}}}
+		f.resetRevision()
+		assert.NilError(t, f.applySnapshot(f.at, &Snapshot{Config: c, Era: 1, Revision: 10 + version}, now))
+	}
+	assert.Equal(t, strings.Count(log.String(), "region_unknown"), 2, "%s", log.String())
+	assert.Assert(t, strings.Contains(log.String(), "region=eats route=r"), "%s", log.String())
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -85,6 +85,8 @@
 	zonesKnown   bool
 	loggedZones  map[string]bool
 	unknownZones logging.Once
+	// unknownRegions are the regions of configurations that were logged as unknown.
+	unknownRegions logging.Once
 
 	mu sync.Mutex
 	// usingReaders reports whether readers of the zone keep the proof fresh, so
@@ -393,6 +395,25 @@
 	}
 	f.table.Store(table)
 	f.log.Info().Str("event", "config_in_force").Int64("version", c.Version).Int64("era", f.eras.era).Int("routes", len(c.Routes)).Msg("")
+	f.logUnknownRegions(c)
+}
+
+// logUnknownRegions logs once each region that a route or an organisation allows and that
+// the settings give to no zone.
+func (f *Follower) logUnknownRegions(c *ingress.Config) {
+	check := func(kind, name string, regions []string) {
+		for _, region := range regions {
+			if !f.directory.KnowsRegion(region) && f.unknownRegions.First(region) {
+				f.log.Warn().Str("event", "region_unknown").Str("region", region).Str(kind, name).Int64("version", c.Version).Msg("")
+			}
+		}
+	}
+	for i := range c.Routes {
+		check("route", c.Routes[i].Name, c.Routes[i].AllowedRegions)
+	}
+	for i := range c.Organisations {
+		check("organisation", c.Organisations[i].Name, c.Organisations[i].AllowedRegions)
+	}
 }
 
 // removalGrace returns how long a server that is no longer published remains
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -89,7 +89,7 @@
 	request := backends.PickRequest{
 		Service: x.service, ServiceName: x.serviceName, PromptTokens: x.call.PromptTokens,
 		AnswerTokens: x.call.LengthHint,
-		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups,
+		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups, HomeRegions: x.homeRegions,
 		StartObjective: x.route.Objective, UntilDeadline: x.untilDeadline(),
 		TimeLimit: x.route.Timeout, MaxPause: x.route.PauseObjective, RefusedBefore: x.callerRetry, SentBefore: x.sendCount > 0, GatewayCount: x.g.gatewayCount(),
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"bluebellwind.example/ingress"
@@ -38,6 +39,8 @@
 	// callerRetry is set if the caller was probably refused before and retries:
 	// a part of its time has already been used up.
 	callerRetry bool
+	// homeRegions are the regions whose servers may get the request; nil if all may.
+	homeRegions []string
 	// serverPriority orders the requests waiting at a server; 0 is served first.
 	serverPriority int
 	body           []byte
@@ -107,3 +110,25 @@
 	}
 	return min(level, lowestServerPriority)
 }
+
+// homeRegions returns the regions that the route and the organisation, which may be nil,
+// both allow: nil if all are, and an empty list if none is.
+func homeRegions(route *ingress.Route, organisation *ingress.Organisation) []string {
+	regions := route.AllowedRegions
+	if organisation == nil || len(organisation.AllowedRegions) == 0 {
+		if len(regions) == 0 {
+			return nil
+		}
+		return regions
+	}
+	if len(regions) == 0 {
+		return organisation.AllowedRegions
+	}
+	both := []string{}
+	for _, region := range regions {
+		if slices.Contains(organisation.AllowedRegions, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,6 +90,8 @@
 		}
 	}
 	x.serverPriority = serverPriority(priority, x.callerRetry)
+	// A known key restricts the regions on public routes too.
+	x.homeRegions = homeRegions(x.route, table.Organisation(x.call.Key))
 	x.serviceName = x.route.ChooseService(rand.Float64())
 	x.service = table.Service(x.serviceName)
 	x.deadline = requestDeadline(x.arrived, x.route, x.call.Remaining)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -121,6 +121,8 @@
 	maxAttempts int
 	// timeout is the timeout of all routes.
 	timeout time.Duration
+	// homeRegions are the regions that the organisation allows.
+	homeRegions []string
 	// idleTimeout is how long callers' connections may be idle; zero means no limit.
 	idleTimeout time.Duration
 }
@@ -222,7 +224,7 @@
 			Version:       1,
 			Routes:        []ingress.Route{route("once", ingress.AtMostOnce, 1), route("again", ingress.Idempotent, h.maxAttempts), route("stream", ingress.Stream, 2), public},
 			Services:      []ingress.Service{{Name: "svc", Engine: h.engine}},
-			Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"key"}}},
+			Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"key"}, AllowedRegions: h.homeRegions}},
 			Limits:        ingress.Limits{IdleTimeout: h.idleTimeout},
 		},
 	}
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -59,6 +59,9 @@
 	Resumable bool
 	// Split holds the services of the route with their weights.
 	Split []Share
+	// AllowedRegions are the regions whose backend servers may get the requests; all
+	// if empty.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may be sent to a second
@@ -150,6 +153,9 @@
 type Organisation struct {
 	Name string
 	Keys []string
+	// AllowedRegions are the regions whose backend servers may get the requests of the
+	// organisation; all if empty. A list of the route applies too.
+	AllowedRegions []string
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -42,8 +42,11 @@
 	// LinkMbps is the rate of the instance's link, in megabits per second; zero if not
 	// known.
 	LinkMbps float64 `yaml:"link_mbps"`
-	Log      Log     `yaml:"log"`
-	Bounds   Bounds  `yaml:"bounds"`
+	// Zones holds the region of each availability zone. A zone that is missing has no
+	// known region.
+	Zones  map[string]string `yaml:"zones"`
+	Log    Log               `yaml:"log"`
+	Bounds Bounds            `yaml:"bounds"`
 }
 
 // Bounds are guarantees that the processes of the system provide jointly. Zero
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -14,6 +14,7 @@
 mesh: "10.0.0.1:7180"
 seeds: ["10.0.0.2:8229", "10.0.0.3:8229"]
 store: "10.0.0.9:8223"
+zones: {"z":"r1","y":"r2"}
 callers: "10.0.0.1:8227"
 ready: "10.0.0.1:8220"
 bounds:
@@ -28,22 +29,23 @@
 	assert.DeepEqual(t, n.MeshSeeds(), []string{"10.0.0.2:7180", "10.0.0.3:7180"})
 	assert.Equal(t, n.Bounds.RevokeBound(), 4*time.Second)
 	assert.Equal(t, n.Bounds.Grace(), 8*time.Second)
+	assert.DeepEqual(t, n.Zones, map[string]string{"z": "r1", "y": "r2"})
 }
 
 func TestNodeSettingsNameTheBadField(t *testing.T) {
 	cases := map[string]string{
-		nodeSettings + "colour: red\n":              "s.yaml:10: colour",
-		nodeSettings + "  retry_ratio: 3\n":         "s.yaml:10: bounds.retry_ratio",
-		nodeSettings + "metrics: \"here\"\n":        "s.yaml:10: metrics",
+		nodeSettings + "colour: red\n":              "s.yaml:11: colour",
+		nodeSettings + "  retry_ratio: 3\n":         "s.yaml:11: bounds.retry_ratio",
+		nodeSettings + "metrics: \"here\"\n":        "s.yaml:11: metrics",
 		"name: \"gw\"\nmesh: \"10.0.0.1:7180\"\n":   "zone",
-		nodeSettings + "memory_mb: \"plenty\"\n":    "s.yaml:10",
-		nodeSettings + "link_mbps: -1\n":            "s.yaml:10: link_mbps",
-		nodeSettings + "  grace_s: -1\n":            "s.yaml:10: bounds.grace_s",
-		nodeSettings + "server: \"10.0.0.1:\"\n":    "s.yaml:10: server",
-		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:10: bounds.retry_window_s",
-		nodeSettings + "  evacuate_ms: -1\n":        "s.yaml:10: bounds.evacuate_ms",
-		nodeSettings + "  retry_free: -1\n":         "s.yaml:10: bounds.retry_free",
-		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:10: revoke_ms",
+		nodeSettings + "memory_mb: \"plenty\"\n":    "s.yaml:11",
+		nodeSettings + "link_mbps: -1\n":            "s.yaml:11: link_mbps",
+		nodeSettings + "  grace_s: -1\n":            "s.yaml:11: bounds.grace_s",
+		nodeSettings + "server: \"10.0.0.1:\"\n":    "s.yaml:11: server",
+		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:11: bounds.retry_window_s",
+		nodeSettings + "  evacuate_ms: -1\n":        "s.yaml:11: bounds.evacuate_ms",
+		nodeSettings + "  retry_free: -1\n":         "s.yaml:11: bounds.retry_free",
+		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:11: revoke_ms",
 		"name: [\n":                                 "s.yaml:",
 		"name: \"gw\"\nzone: \"z\"\nmesh: \"nope\"": "s.yaml:3: mesh",
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -83,6 +83,7 @@
 	incarnation := uint64(time.Now().UnixNano())
 	directory := backends.NewDirectory(settings.Zone, seedFromName(settings.Name)^incarnation)
 	directory.SetSelf(settings.Name)
+	directory.SetRegions(settings.Zones)
 	suspicions, limits := &suspicionExchange{}, &limitExchange{directory: directory}
 	others := &gossip{topics: []topic{suspicions, limits}}
 	meshNode, err := mesh.Listen(mesh.Options{
@@ -129,7 +130,7 @@
 	}()
 	go follower.Run(backgroundCtx)
 	go reportDroppedLines(backgroundCtx, logger)
-	go reloadOnSIGHUP(backgroundCtx, hangup, file, logger, gw)
+	go reloadOnSIGHUP(backgroundCtx, hangup, file, logger, gw, directory)
 	if closeMetrics, err := serveMetrics(settings.Metrics, gw.Metrics()); err != nil {
 		logger.Warn().Str("event", "metrics_unavailable").Str("cause", err.Error()).Msg("")
 	} else {
@@ -250,9 +251,11 @@
 }
 
 // reloadOnSIGHUP reloads the settings on SIGHUP, which the platform sends when
-// they have changed. Only the limits take effect; changed addresses do so at the
-// next start.
-func reloadOnSIGHUP(ctx context.Context, hangup <-chan os.Signal, file string, logger *logging.Bounded, gw *gateway.Gateway) {
+// they have changed. Only the limits and the regions of zones take effect; changed
+// addresses do so at the next start.
+func reloadOnSIGHUP(
+	ctx context.Context, hangup <-chan os.Signal, file string, logger *logging.Bounded, gw *gateway.Gateway, directory *backends.Directory,
+) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -265,6 +268,7 @@
 			continue
 		}
 		gw.Reload(gatewayLimits(settings))
+		directory.SetRegions(settings.Zones)
 	}
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -75,6 +75,7 @@
 	Quarantined      Code = "quarantined"
 	Interrupted      Code = "interrupted"
 	ZoneEvacuated    Code = "zone_evacuated"
+	RegionNotAllowed Code = "region_not_allowed"
 	Internal         Code = "internal"
 )
 
