--- a/backends/directory.go
+++ b/backends/directory.go
@@ -57,6 +57,8 @@
 	// known, and no server is chosen.
 	evacuated         map[string]bool
 	awaitsEvacuations bool
+	// regions holds the region of each zone that the settings name.
+	regions map[string]string
 }
 
 // heldServer is a published server that is not used before until.
@@ -477,11 +479,13 @@
 	outdated  bool
 	updatedAt time.Time
 	// groupLoads are the loads of the groups that may be chosen, by group name; nil
-	// for plain services.
-	groupLoads map[string]groupLoad
-	subset     subset
-	// candidates are those of the view at the last update.
-	candidates []routing.Candidate
+	// for plain services. candidates are the servers of the view that they were derived
+	// from, and regionLoads the loads of the servers in some regions only, by the list of
+	// regions.
+	groupLoads  map[string]groupLoad
+	candidates  []routing.Candidate
+	regionLoads map[string]map[string]groupLoad
+	subset      subset
 	// reopensAt is when the first server that is closed by its budget opens again, as far
 	// as that is known; zero if there is none.
 	reopensAt time.Time
