Admit requests by priority, with the demand of all gateways

The less urgent kind was served best in overload: admission control counted all waiting requests as ahead of each request, and a longer objective lets a request wait longer. Servers start waiting requests by priority, so urgent requests were refused for waits that they did not have.

Package admission estimates the wait by priority: less urgent waiting requests are not ahead, more urgent ones that arrive meanwhile are, and slots are reserved for the more urgent requests that arrive until a slot is free. The split by priority comes from the demand of all gateways, which each measures and sends to two others every 250 ms, with what it has heard of others (field 12 of Packet). While under a quarter of the gateways is known, and with one priority, the decision is the one of before.

Refusals name priority, rule, expected and allowed wait in the log; metrics bluebellwind_admitted_total, bluebellwind_refusals_total by priority and rule, bluebellwind_expected_wait_seconds and bluebellwind_reserved_slots.

--- a/backends/admit.go
+++ b/backends/admit.go
@@ -1,6 +1,10 @@
 package backends
 
-import "time"
+import (
+	"time"
+
+	"bluebellwind.example/admission"
+)
 
 const (
 	// newMaxWaitShare is the share of the objective that a new request may wait
@@ -66,6 +70,8 @@
 	// expectedWait is the shortest estimated wait for a slot, maxWait the longest
 	// wait that is allowed for the request.
 	expectedWait, maxWait time.Duration
+	// reserve is the number of slots reserved for more urgent requests.
+	reserve float64
 }
 
 // admit decides whether a request is accepted, and by which pool. Requests that
@@ -73,7 +79,7 @@
 // already late prefer late groups, which leaves the slots of the others free. A
 // request is placed in a late group that cannot meet its deadline only if there are
 // no other groups.
-func admit(r *PickRequest, onTime, late *pool) decision {
+func admit(r *PickRequest, onTime, late *pool, demand *admission.Demand) decision {
 	latePoolOrder := []bool{false, true}
 	if r.alreadyLate() {
 		latePoolOrder = []bool{true, false}
@@ -87,7 +93,8 @@
 		if p.groups == 0 {
 			continue
 		}
-		d := decision{latePool: useLate, expectedWait: p.expectedWait(r.GatewayCount), maxWait: r.maxWait(useLate)}
+		estimate := p.estimateWait(r, demand)
+		d := decision{latePool: useLate, expectedWait: estimate.Wait, reserve: estimate.Reserve, maxWait: r.maxWait(useLate)}
 		if d.expectedWait <= d.maxWait && (!useLate || r.meetsDeadline(p) || onTime.groups == 0) {
 			d.admitted = true
 			return d
--- a/backends/directory.go
+++ b/backends/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"bluebellwind.example/admission"
 	"bluebellwind.example/ratelimit"
 	"bluebellwind.example/routing"
 )
@@ -44,6 +45,8 @@
 	// the latest time at which a caller was told to retry because of them.
 	limits   *ratelimit.Registry
 	promised map[string]time.Time
+	// demand knows the demand at all gateways.
+	demand *admission.Registry
 	// heldBack holds, by ID, the servers that a restored source publishes again
 	// although they were removed before.
 	heldBack map[string]heldServer
@@ -103,6 +106,7 @@
 		withdrawals: newWithdrawals(),
 		limits:      ratelimit.NewRegistry(rng),
 		promised:    make(map[string]time.Time),
+		demand:      admission.NewRegistry(rng),
 		heldBack:    make(map[string]heldServer),
 	}
 }
@@ -240,6 +244,7 @@
 		return e != nil && e.incarnation() == i
 	})
 	d.limits.Expire(now)
+	d.demand.Expire(now)
 	for address, s := range d.statuses {
 		if now.Sub(s.ReceivedAt) > statusTTL {
 			delete(d.statuses, address)
--- a/backends/limits.go
+++ b/backends/limits.go
@@ -13,6 +13,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limits.SetSelf(id)
+	d.demand.SetSelf(id)
 }
 
 // SetGatewayAlive records whether another gateway that sends to the same servers is heard
--- a/backends/load.go
+++ b/backends/load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"bluebellwind.example/admission"
 	"bluebellwind.example/ingress"
 )
 
@@ -69,21 +70,19 @@
 	p.serviceTime += time.Duration(weight * float64(g.serviceTime-p.serviceTime))
 }
 
-// expectedWait estimates how long a new request waits for a slot. gateways is the
-// number of gateways that send to the pool. Each knows only what it sent itself
-// since the last status, see arrivalsSinceReport.
-func (p *pool) expectedWait(gateways int) time.Duration {
+// estimateWait estimates how long a new request waits for a slot, given the demand at all
+// gateways. A gateway knows only what it sent itself since the last status, see
+// arrivalsSinceReport.
+func (p *pool) estimateWait(r *PickRequest, demand *admission.Demand) admission.Estimate {
 	if p.slots == 0 || p.serviceTime == 0 {
-		return 0
+		return admission.Estimate{}
 	}
-	busy := float64(p.running + p.waiting)
-	ended := min(busy, float64(p.slots)) * p.reportAge.Seconds() / p.serviceTime.Seconds()
-	arrived := p.arrivalsSinceReport(gateways, ended)
-	excess := busy + arrived - ended + 1 - float64(p.slots)
-	if excess <= 0 {
-		return 0
+	ended := min(float64(p.running+p.waiting), float64(p.slots)) * p.reportAge.Seconds() / p.serviceTime.Seconds()
+	load := admission.Load{
+		Slots: p.slots, Running: p.running, Waiting: p.waiting,
+		Arrived: p.arrivalsSinceReport(r.GatewayCount, ended), Ended: ended, ServiceTime: p.serviceTime,
 	}
-	return time.Duration(float64(p.serviceTime) * excess / float64(p.slots))
+	return admission.EstimateWait(&load, demand, r.Priority)
 }
 
 // arrivalsSinceReport estimates how many requests all gateways have sent since the
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -37,6 +37,9 @@
 			return
 		}
 		x.choice = choice
+		if x.selectionCount == 0 {
+			x.g.metrics.countAdmitted(x, choice)
+		}
 		x.selectionCount++
 		result := x.continueWithStandby(x.sendTo(choice))
 		x.endStandby()
@@ -92,6 +95,7 @@
 		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups,
 		StartObjective: x.route.Objective, UntilDeadline: x.untilDeadline(),
 		TimeLimit: x.route.Timeout, MaxPause: x.route.PauseObjective, RefusedBefore: x.callerRetry, SentBefore: x.sendCount > 0, GatewayCount: x.g.gatewayCount(),
+		Organisation: x.organisation, Priority: x.priority,
 	}
 	choice, err := x.g.directory.Pick(request, time.Now())
 	if err == nil || len(x.avoidGroups) == 0 {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -80,10 +80,16 @@
 	if t := g.follower.Table(); t != nil {
 		configVersion = t.Version()
 	}
-	g.log.Info().Str("event", "refused").Str("request", x.call.ID).Int("status", status).
+	entry := g.log.Info()
+	var overload *backends.Overload
+	if errors.As(e.Err, &overload) {
+		entry = entry.Str("rule", string(overload.Rule)).Int64("expected_wait_ms", overload.ExpectedWait.Milliseconds()).
+			Int64("allowed_wait_ms", overload.AllowedWait.Milliseconds())
+	}
+	entry.Str("event", "refused").Str("request", x.call.ID).Int("status", status).
 		Str("code", string(e.Code)).Str("verdict", e.Verdict.String()).Str("why", e.Reason).
 		Str("cause", cause).Int64("retry_after_ms", e.RetryAfter.Milliseconds()).
-		Str("organisation", x.organisation).Str("service", x.serviceName).Bool("returned", x.callerRetry).
+		Str("organisation", x.organisation).Str("service", x.serviceName).Bool("returned", x.callerRetry).Int("priority", x.priority).
 		Int64("config", configVersion).Bool("proved", hasProof).Int64("proof_age_ms", proofAge.Milliseconds()).
 		Int("sends", x.sendCount).Int64("elapsed_ms", time.Since(x.arrived).Milliseconds()).Msg("")
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bluebellwind.example/admission"
+	"bluebellwind.example/backends"
 	"bluebellwind.example/internal/telemetry"
+	"bluebellwind.example/verdict"
 )
 
 // gatewayMetrics holds the metrics of one gateway. The number of time series
@@ -51,8 +55,29 @@
 
 func (m *gatewayMetrics) requestEnded() { m.activeRequests.Add(-1) }
 
-func (m *gatewayMetrics) countRefusal(code string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_refusals_total{code=%q}", code)).Inc()
+// countRefusal counts a refusal by the gateway itself. Those for load have the priority and
+// the rule that refused them.
+func (m *gatewayMetrics) countRefusal(x *exchange, e *verdict.Error) {
+	labels := fmt.Sprintf("code=%q", e.Code)
+	var overload *backends.Overload
+	if errors.As(e.Err, &overload) {
+		labels += fmt.Sprintf(",priority=\"%d\",rule=%q", admission.ClampPriority(x.priority), overload.Rule)
+		m.observeAdmission(x.priority, overload.ExpectedWait, overload.Reserve)
+	}
+	m.set.GetOrCreateCounter("bluebellwind_refusals_total{" + labels + "}").Inc()
+}
+
+// countAdmitted counts a request for which a server was chosen.
+func (m *gatewayMetrics) countAdmitted(x *exchange, choice *backends.Choice) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_admitted_total{priority=\"%d\"}", admission.ClampPriority(x.priority))).Inc()
+	m.observeAdmission(x.priority, choice.ExpectedWait, choice.Reserve)
+}
+
+// observeAdmission records the latest decision of admission control about a priority.
+func (m *gatewayMetrics) observeAdmission(priority int, expectedWait time.Duration, reserve float64) {
+	label := fmt.Sprintf("{priority=\"%d\"}", admission.ClampPriority(priority))
+	m.set.GetOrCreateGauge("bluebellwind_expected_wait_seconds"+label, nil).Set(expectedWait.Seconds())
+	m.set.GetOrCreateGauge("bluebellwind_reserved_slots"+label, nil).Set(reserve)
 }
 
 func (m *gatewayMetrics) countFailedAttempt(event string) {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -39,7 +39,7 @@
 	g.setConnectionClose(h)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(e.Reason)+1))
-	g.metrics.countRefusal(string(e.Code))
+	g.metrics.countRefusal(x, e)
 	g.logRefusal(x, e, status)
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write([]byte(e.Reason + "\n")); err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,6 +38,8 @@
 	// callerRetry is set if the caller was probably refused before and retries:
 	// a part of its time has already been used up.
 	callerRetry bool
+	// priority is the priority set by operators; 0 is the most urgent.
+	priority int
 	// serverPriority orders the requests waiting at a server; 0 is served first.
 	serverPriority int
 	body           []byte
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -89,6 +89,7 @@
 			priority = organisation.Priority
 		}
 	}
+	x.priority = priority
 	x.serverPriority = serverPriority(priority, x.callerRetry)
 	x.serviceName = x.route.ChooseService(rand.Float64())
 	x.service = table.Service(x.serviceName)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -81,7 +81,8 @@
 	directory := backends.NewDirectory(settings.Zone, seedFromName(settings.Name)^incarnation)
 	directory.SetSelf(settings.Name)
 	suspicions, limits := &suspicionExchange{}, &limitExchange{directory: directory}
-	others := &gossip{topics: []topic{suspicions, limits}}
+	demand := &demandExchange{directory: directory}
+	others := &gossip{topics: []topic{suspicions, limits, demand}}
 	meshNode, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
 			ID: settings.Name, Address: settings.Mesh, Role: mesh.Gateway, Zone: settings.Zone, Incarnation: incarnation,
@@ -116,9 +117,10 @@
 		Log:              logger.Logger,
 	})
 	suspicions.mesh, suspicions.gateway = meshNode, gw
-	limits.mesh, others.mesh = meshNode, meshNode
+	limits.mesh, others.mesh, demand.mesh = meshNode, meshNode, meshNode
 	go meshNode.Run(backgroundCtx)
 	go others.run(backgroundCtx)
+	go demand.run(backgroundCtx)
 	go func() {
 		if err := follower.ServePeers(backgroundCtx, peerListener); err != nil && backgroundCtx.Err() == nil {
 			logger.Error().Str("event", "peers_unserved").Str("cause", err.Error()).Msg("")
