Share slots among organisations while capacity is short

One organisation with a burst or a quarter of the traffic lowered the service of all others in its priority. While a request would have to wait and more new requests arrive than can be served, what a priority can be served is divided max-min fair among the organisations, by the rates that all gateways report. An organisation above its share waits less, by as much as the served part of its demand is smaller than that of all; so equal organisations, or a single one, wait as before. Requests that were refused before are no demand. The rule and the share are in the log and metrics of a refusal.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -147,7 +147,7 @@
 }
 
 // RecordArrival records a request of a caller.
-func (r *Registry) RecordArrival(a Arrival, now time.Time) {
+func (r *Registry) RecordArrival(a *Arrival, now time.Time) {
 	d := r.ensureOwn(a.Service)
 	priority := ClampPriority(a.Priority)
 	if a.Returned {
--- a/admission/demand_test.go
+++ b/admission/demand_test.go
@@ -55,7 +55,7 @@
 // A gateway that knows hardly any others must decide as if nothing were known of priorities.
 func TestDemandOfFewGatewaysIsNotScaled(t *testing.T) {
 	r := newTestRegistry("a")
-	r.RecordArrival(Arrival{Service: "llm", Priority: 0}, start)
+	r.RecordArrival(&Arrival{Service: "llm", Priority: 0}, start)
 	assert.Assert(t, !r.Total("llm", 46, start).Known)
 	assert.Equal(t, r.Total("llm", 46, start), Demand{})
 	for i := range 22 {
--- a/backends/admit.go
+++ b/backends/admit.go
@@ -41,6 +41,9 @@
 	case r.RefusedBefore || latePool:
 		limit = refusedBeforeMaxWait
 	}
+	if r.share != nil && !r.SentBefore {
+		limit = time.Duration(r.share.WaitFactor * float64(limit))
+	}
 	if r.UntilDeadline > 0 {
 		limit = min(limit, time.Duration(maxWaitShare*float64(r.UntilDeadline)))
 	}
--- a/backends/demand.go
+++ b/backends/demand.go
@@ -12,9 +12,28 @@
 	if !r.usesEngine() || r.SentBefore || len(r.TriedServers) > 0 {
 		return
 	}
-	d.demand.RecordArrival(admission.Arrival{
-		Service: r.ServiceName, Organisation: r.Organisation, Priority: r.Priority, Returned: r.RefusedBefore,
-	}, now)
+	d.demand.RecordArrival(r.arrival(), now)
+}
+
+func (r *PickRequest) arrival() *admission.Arrival {
+	return &admission.Arrival{Service: r.ServiceName, Organisation: r.Organisation, Priority: r.Priority, Returned: r.RefusedBefore}
+}
+
+// shareIfShort returns the share of the organisation of a request if the request would wait
+// for a slot, and nil otherwise. The caller holds the lock.
+func (d *Directory) shareIfShort(r *PickRequest, onTime, late *pool, demand *admission.Demand, now time.Time) *admission.Share {
+	short, freedPerSecond := false, 0.0
+	for _, p := range []*pool{onTime, late} {
+		if p.slots > 0 && p.serviceTime > 0 {
+			freedPerSecond += float64(p.slots) / p.serviceTime.Seconds()
+			short = short || p.estimateWait(r, demand).Wait > 0
+		}
+	}
+	if !short {
+		return nil
+	}
+	share := d.demand.ShareOf(r.arrival(), freedPerSecond, r.GatewayCount, now)
+	return &share
 }
 
 // DemandReports returns the demand at this gateway, and up to n reports of others.
--- a/backends/overload.go
+++ b/backends/overload.go
@@ -16,6 +16,8 @@
 	RuleLoad Rule = "load"
 	// RulePriority means that the slots are needed by more urgent requests.
 	RulePriority Rule = "priority"
+	// RuleShare means that the organisation asks for more than its share.
+	RuleShare Rule = "share"
 )
 
 // Overload is why admission control refused a request. It is the cause of the refusal.
@@ -24,24 +26,35 @@
 	ExpectedWait, AllowedWait time.Duration
 	// Reserve is the number of slots reserved for more urgent requests.
 	Reserve float64
+	// Share is the share of the organisation; nil if it was not asked for.
+	Share *admission.Share
 	// pools describes the load.
 	pools string
 }
 
 // Error returns the decision and the load that led to it.
 func (o *Overload) Error() string {
-	return fmt.Sprintf("expected wait %d ms, limit %d ms by %s, reserve %.1f: %s",
-		o.ExpectedWait.Milliseconds(), o.AllowedWait.Milliseconds(), o.Rule, o.Reserve, o.pools)
+	share := ""
+	if o.Share != nil && o.Share.WaitFactor < 1 {
+		share = fmt.Sprintf(", the organisation asks for %.1f/s of at most %.1f/s", o.Share.PerSecond, o.Share.MaxPerSecond)
+	}
+	return fmt.Sprintf("expected wait %d ms, limit %d ms by %s, reserve %.1f%s: %s",
+		o.ExpectedWait.Milliseconds(), o.AllowedWait.Milliseconds(), o.Rule, o.Reserve, share, o.pools)
 }
 
 // newOverload returns why a request was refused with a decision.
 func newOverload(r *PickRequest, d *decision, onTime, late *pool) *Overload {
-	o := &Overload{Rule: RuleLoad, ExpectedWait: d.expectedWait, AllowedWait: d.maxWait, Reserve: d.reserve}
+	o := &Overload{Rule: RuleLoad, ExpectedWait: d.expectedWait, AllowedWait: d.maxWait, Reserve: d.reserve, Share: r.share}
 	p := onTime
 	if d.latePool {
 		p = late
 	}
-	if p.estimateWait(r, &admission.Demand{}).Wait <= d.maxWait {
+	unshared := *r
+	unshared.share = nil
+	switch {
+	case d.expectedWait <= unshared.maxWait(d.latePool):
+		o.Rule = RuleShare
+	case p.estimateWait(r, &admission.Demand{}).Wait <= d.maxWait:
 		o.Rule = RulePriority
 	}
 	o.pools = fmt.Sprintf("%d and %d run and wait for %d slots with passes of %d ms, and %d for %d slots with passes of %d ms in late groups",
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellwind.example/admission"
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/routing"
 	"bluebellwind.example/verdict"
@@ -76,6 +77,9 @@
 	GatewayCount int
 	// AvoidGroups are the groups in which the request has failed before.
 	AvoidGroups []string
+
+	// share is the share of the organisation; nil while no request would wait.
+	share *admission.Share
 }
 
 // usesEngine reports whether the servers are model engines. Plain services report
@@ -197,6 +201,7 @@
 		return decision{}, nil, nil // The table's Pick returns the reason.
 	}
 	demand := d.demand.Total(r.ServiceName, r.GatewayCount, now)
+	r.share = d.shareIfShort(r, onTime, late, &demand, now)
 	admitted = admit(r, onTime, late, &demand)
 	if !admitted.admitted {
 		cause := newOverload(r, &admitted, onTime, late)
--- a/backends/replay_test.go
+++ b/backends/replay_test.go
@@ -54,6 +54,9 @@
 	hotShare float64
 	// impatient is the share of the callers that retry immediately.
 	impatient float64
+	// hotRetries says how the callers of organisation 0 retry: as all others if it is 0, not at
+	// once if it is less, and immediately, up to so many times, if it is more.
+	hotRetries int
 }
 
 // pageLoad is the load that docs/design/demands.md states; the objectives are assumed.
@@ -69,6 +72,7 @@
 type replayCaller struct {
 	priority, organisation int
 	impatient              bool
+	maxTries               int
 	arrived                time.Duration
 	tries                  int
 	// firstEvent is when the answer began; zero if it never did.
@@ -259,7 +263,10 @@
 	if r.rng.Float64() < r.load.hotShare || inBurst && r.load.hotBurst && r.rng.Float64() > 1/r.load.burst {
 		organisation = 0
 	}
-	c := &replayCaller{priority: priority, organisation: organisation, impatient: r.rng.Float64() < r.load.impatient, arrived: r.now}
+	c := &replayCaller{priority: priority, organisation: organisation, impatient: r.rng.Float64() < r.load.impatient, maxTries: maxImmediateTries, arrived: r.now}
+	if organisation == 0 && r.load.hotRetries != 0 {
+		c.impatient, c.maxTries = r.load.hotRetries > 0, 1+r.load.hotRetries
+	}
 	r.callers = append(r.callers, c)
 	r.try(c)
 }
@@ -297,7 +304,7 @@
 	var refusal *verdict.Error
 	errors.As(err, &refusal)
 	switch {
-	case c.impatient && c.tries < maxImmediateTries:
+	case c.impatient && c.tries < c.maxTries:
 		r.after(20*time.Millisecond, func() { r.try(c) })
 	case !c.impatient && c.tries == 1 && refusal.RetryAfter > 0 && refusal.RetryAfter <= remaining/3:
 		r.after(refusal.RetryAfter, func() { r.try(c) })
@@ -333,6 +340,8 @@
 // burst.
 type replayFigures struct{ callers, onTime, late int }
 
+func (f *replayFigures) onTimeShare() float64 { return float64(f.onTime) / float64(max(1, f.callers)) }
+
 func (f *replayFigures) String() string {
 	n := float64(max(1, f.callers)) / 100
 	return fmt.Sprintf("%5.1f on time, %5.1f late, %5.1f never of 100 (%d)", float64(f.onTime)/n, float64(f.late)/n, float64(f.callers-f.onTime-f.late)/n, f.callers)
@@ -409,6 +418,10 @@
 			t.Errorf("priority %d: %d of %d callers were served on time", p, f.onTime, f.callers)
 		}
 	}
+	// Organisation 0 alone asks for more than its share.
+	if others, all := res.others[2].onTimeShare(), res.byPriority[2].onTimeShare(); others < all-0.1 {
+		t.Errorf("%.2f of the other organisations' callers of priority 2 were on time, %.2f of all", others, all)
+	}
 	if res.needless > 0 {
 		t.Errorf("%d refusals while under half of the slots were taken and nothing waited", res.needless)
 	}
@@ -431,3 +444,20 @@
 	load.hotBurst = true
 	checkCompetition(t, runReplays(t, load))
 }
+
+// Guards against an organisation that gains from callers that retry immediately, and against
+// others that lose by it.
+func TestReplayOfRetriesOfOneOrganisation(t *testing.T) {
+	t.Parallel()
+	onTime := make(map[int]float64)
+	for _, retries := range []int{-1, 8} {
+		load := pageLoad()
+		load.hotBurst, load.hotRetries = true, retries
+		res := runReplays(t, load)
+		checkCompetition(t, res)
+		onTime[retries] = res.hot[2].onTimeShare()
+	}
+	if onTime[8] > onTime[-1]+0.1 {
+		t.Errorf("%.2f of the callers that retry immediately were on time, %.2f of those that do not", onTime[8], onTime[-1])
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -63,6 +63,10 @@
 	if errors.As(e.Err, &overload) {
 		labels += fmt.Sprintf(",priority=\"%d\",rule=%q", admission.ClampPriority(x.priority), overload.Rule)
 		m.observeAdmission(x.priority, overload.ExpectedWait, overload.Reserve)
+		if overload.Rule == backends.RuleShare {
+			m.set.GetOrCreateGauge(fmt.Sprintf("bluebellwind_organisation_share_per_second{priority=\"%d\"}", admission.ClampPriority(x.priority)), nil).
+				Set(overload.Share.MaxPerSecond)
+		}
 	}
 	m.set.GetOrCreateCounter("bluebellwind_refusals_total{" + labels + "}").Inc()
 }
--- a/internal/node/demand_test.go
+++ b/internal/node/demand_test.go
@@ -47,7 +47,7 @@
 		for f.rng.Float64() < rate/1000 {
 			rate -= 1000
 			organisation := min(f.rng.IntN(24), f.rng.IntN(24))
-			f.registries[f.rng.IntN(len(f.registries))].RecordArrival(admission.Arrival{
+			f.registries[f.rng.IntN(len(f.registries))].RecordArrival(&admission.Arrival{
 				Service: "llm", Organisation: fmt.Sprintf("organisation-%02d", organisation), Priority: priority,
 			}, f.now)
 		}
