Name return times at which there is capacity

A caller refused for load was told to return after 1.2 to 2.5 s, whatever was expected then, and sometimes later than the third of its time that callers wait. The time is now drawn among those, within that third, at which the slots that become free exceed the waiting requests, the new requests of the same and more urgent priorities, and the returns that all gateways have promised; times with more capacity are more likely, so that gateways that decide on the same numbers spread their callers. Promises are part of the demand that gateways exchange. If there is no such time, the refusal says so and names the latest time.

A gateway that knows no other's demand decides without priorities also where there are only two to four gateways.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -17,8 +17,8 @@
 	ReportLifetime = 3 * time.Second
 	// rateTimeConstant is the time constant of the average rate of a gateway's requests.
 	rateTimeConstant = time.Second
-	// minKnownShare is the share of the gateways whose demand must be known for the
-	// estimate of the total. The rate of a single gateway is a few requests a second, and
+	// minKnownShare is the share of the gateways, at least two, whose demand must be known
+	// for the estimate of the total. The rate of a single gateway is a few requests a second, and
 	// scaling it to all of them turns chance into demand.
 	minKnownShare = 0.25
 	// maxOrganisations is the number of organisations, the largest ones, of which a
@@ -52,6 +52,9 @@
 	// Unanswered is the number of requests that were sent to a server and have no first
 	// event yet.
 	Unanswered int
+	// Promised is the number of callers that were told to return, by the time until then in
+	// spans of promiseSpan; missing ones are zero.
+	Promised []int
 }
 
 // OrganisationDemand is the demand of one organisation within one priority.
@@ -111,6 +114,7 @@
 type ownDemand struct {
 	fresh, returns [Priorities]meter
 	unanswered     [Priorities]int
+	promised       [Priorities]promises
 	organisations  map[organisationKey]*meter
 }
 
@@ -190,8 +194,8 @@
 func (d *ownDemand) report(service uint32, now time.Time) ServiceDemand {
 	out := ServiceDemand{Service: service}
 	for p := range Priorities {
-		class := ClassDemand{Priority: p, NewPerSecond: d.fresh[p].rateAt(now), ReturnsPerSecond: d.returns[p].rateAt(now), Unanswered: d.unanswered[p]}
-		if class.NewPerSecond >= minReportedRate || class.ReturnsPerSecond >= minReportedRate || class.Unanswered > 0 {
+		class := ClassDemand{Priority: p, NewPerSecond: d.fresh[p].rateAt(now), ReturnsPerSecond: d.returns[p].rateAt(now), Unanswered: d.unanswered[p], Promised: d.promised[p].next(now)}
+		if class.NewPerSecond >= minReportedRate || class.ReturnsPerSecond >= minReportedRate || class.Unanswered > 0 || len(class.Promised) > 0 {
 			out.Classes = append(out.Classes, class)
 		}
 	}
@@ -271,7 +275,7 @@
 func validServices(services []ServiceDemand) bool {
 	for _, s := range services {
 		for _, c := range s.Classes {
-			if c.Priority < 0 || c.Priority >= Priorities || !validRate(c.NewPerSecond) || !validRate(c.ReturnsPerSecond) || c.Unanswered < 0 {
+			if c.Priority < 0 || c.Priority >= Priorities || !validRate(c.NewPerSecond) || !validRate(c.ReturnsPerSecond) || c.Unanswered < 0 || len(c.Promised) > promiseSpans {
 				return false
 			}
 		}
@@ -291,6 +295,8 @@
 	Known bool
 	// PerSecond is the rate of all requests, NewPerSecond that of new ones.
 	PerSecond, NewPerSecond [Priorities]float64
+	// PromisedPerSecond is the rate at which callers that were told to return are due now.
+	PromisedPerSecond [Priorities]float64
 	// Unanswered is the number of requests that were sent to a server and have no first
 	// event yet.
 	Unanswered [Priorities]float64
@@ -322,11 +328,12 @@
 		}
 	}
 	gateways = max(gateways, 1)
-	if float64(known) < minKnownShare*float64(gateways) {
+	if known < gateways && float64(known) < max(2, minKnownShare*float64(gateways)) {
 		return Demand{}
 	}
 	total.Known = true
 	total.scale(max(1, float64(gateways)/float64(known)))
+	total.PromisedPerSecond = r.promisedPerSecond(service, gateways, now)
 	return total
 }
 
@@ -346,9 +353,16 @@
 	}
 }
 
-// moreUrgentPerSecond returns the rate of requests that are more urgent than the priority.
+// moreUrgentPerSecond returns the rate of requests that are more urgent than the priority:
+// new ones, and returns as they arrive or as they were promised. Promises do not count
+// against requests of the same priority: in the replay of competing callers 1.2 of 100 fewer
+// were then on time, and no more were served.
 func (d *Demand) moreUrgentPerSecond(priority int) float64 {
-	return sum(d.PerSecond[:priority])
+	total := 0.0
+	for p := range priority {
+		total += d.NewPerSecond[p] + max(d.PerSecond[p]-d.NewPerSecond[p], d.PromisedPerSecond[p])
+	}
+	return total
 }
 
 // lessUrgentShare returns the share of counts, which are by priority, that belongs to
--- a/admission/demand_test.go
+++ b/admission/demand_test.go
@@ -58,6 +58,8 @@
 	r.RecordArrival(&Arrival{Service: "llm", Priority: 0}, start)
 	assert.Assert(t, !r.Total("llm", 46, start).Known)
 	assert.Equal(t, r.Total("llm", 46, start), Demand{})
+	assert.Assert(t, !r.Total("llm", 2, start).Known)
+	assert.Assert(t, r.Total("llm", 1, start).Known)
 	for i := range 22 {
 		r.Merge([]Report{classReport(fmt.Sprint(i), 0, 2)}, start)
 	}
@@ -128,3 +130,14 @@
 		assert.Equal(t, EstimateWait(l, &d, p), EstimateWait(l, &Demand{}, p))
 	}
 }
+
+// Capacity that was promised to more urgent callers must not be given to less urgent ones.
+func TestPromisedCapacityIsReserved(t *testing.T) {
+	demand := mixedDemand()
+	load := &Load{Slots: 640, Running: 640, ServiceTime: 2 * time.Second}
+	before := estimate(load, demand, 2)
+	demand.PromisedPerSecond[0] = 100
+	assert.Assert(t, estimate(load, demand, 2).Reserve > before.Reserve)
+	assert.Assert(t, estimate(load, demand, 2).Wait > before.Wait)
+	assert.Equal(t, estimate(load, demand, 0), EstimateWait(load, &Demand{}, 0))
+}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -25,6 +25,8 @@
 	Wait time.Duration
 	// Reserve is the number of slots that are reserved for more urgent requests.
 	Reserve float64
+	// Ahead is the number of requests ahead of it, and the reserve.
+	Ahead float64
 }
 
 // EstimateWait estimates how long a new request of the priority waits for a slot. Servers
@@ -38,7 +40,8 @@
 	slots := float64(l.Slots)
 	freedPerSecond := slots / l.ServiceTime.Seconds()
 	excess := float64(l.Running+l.Waiting) + l.Arrived - l.Ended + 1 - slots
-	estimate := Estimate{Reserve: reserve(d, priority, freedPerSecond)}
+	aheadPerSecond := d.moreUrgentPerSecond(priority)
+	estimate := Estimate{Reserve: reserve(aheadPerSecond / freedPerSecond)}
 	ahead := excess + estimate.Reserve
 	if excess > 1 {
 		ahead -= l.lessUrgentWaiting(d, priority, excess-1)
@@ -46,17 +49,15 @@
 	if ahead <= 0 {
 		return estimate
 	}
-	drain := max(freedPerSecond-d.moreUrgentPerSecond(priority), minDrainShare*freedPerSecond)
+	estimate.Ahead = ahead
+	drain := max(freedPerSecond-aheadPerSecond, minDrainShare*freedPerSecond)
 	estimate.Wait = time.Duration(ahead / drain * float64(time.Second))
 	return estimate
 }
 
-// reserve returns how many slots are reserved for requests that are more urgent: as many as
-// arrive until a slot becomes free, and the standard deviation of that number.
-func reserve(d *Demand, priority int, freedPerSecond float64) float64 {
-	arrivals := d.moreUrgentPerSecond(priority) / freedPerSecond
-	return arrivals + math.Sqrt(arrivals)
-}
+// reserve returns how many slots are reserved for the given number of requests that arrive on
+// average until a slot becomes free: that number and its standard deviation.
+func reserve(arrivals float64) float64 { return arrivals + math.Sqrt(arrivals) }
 
 // lessUrgentWaiting returns how many of the waiting requests are less urgent than the
 // priority. Requests that have arrived since the report took the slots that were free then,
--- a/backends/admit.go
+++ b/backends/admit.go
@@ -73,8 +73,9 @@
 	// expectedWait is the shortest estimated wait for a slot, maxWait the longest
 	// wait that is allowed for the request.
 	expectedWait, maxWait time.Duration
-	// reserve is the number of slots reserved for more urgent requests.
-	reserve float64
+	// reserve is the number of slots reserved for more urgent requests, and ahead the number
+	// of requests that wait ahead of the request.
+	reserve, ahead float64
 }
 
 // admit decides whether a request is accepted, and by which pool. Requests that
@@ -97,7 +98,7 @@
 			continue
 		}
 		estimate := p.estimateWait(r, demand)
-		d := decision{latePool: useLate, expectedWait: estimate.Wait, reserve: estimate.Reserve, maxWait: r.maxWait(useLate)}
+		d := decision{latePool: useLate, expectedWait: estimate.Wait, reserve: estimate.Reserve, ahead: estimate.Ahead, maxWait: r.maxWait(useLate)}
 		if d.expectedWait <= d.maxWait && (!useLate || r.meetsDeadline(p) || onTime.groups == 0) {
 			d.admitted = true
 			return d
--- a/backends/demand.go
+++ b/backends/demand.go
@@ -22,17 +22,10 @@
 // shareIfShort returns the share of the organisation of a request if the request would wait
 // for a slot, and nil otherwise. The caller holds the lock.
 func (d *Directory) shareIfShort(r *PickRequest, onTime, late *pool, demand *admission.Demand, now time.Time) *admission.Share {
-	short, freedPerSecond := false, 0.0
-	for _, p := range []*pool{onTime, late} {
-		if p.slots > 0 && p.serviceTime > 0 {
-			freedPerSecond += float64(p.slots) / p.serviceTime.Seconds()
-			short = short || p.estimateWait(r, demand).Wait > 0
-		}
-	}
-	if !short {
+	if onTime.estimateWait(r, demand).Wait == 0 && late.estimateWait(r, demand).Wait == 0 {
 		return nil
 	}
-	share := d.demand.ShareOf(r.arrival(), freedPerSecond, r.GatewayCount, now)
+	share := d.demand.ShareOf(r.arrival(), freedPerSecond(onTime, late), r.GatewayCount, now)
 	return &share
 }
 
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -37,10 +37,13 @@
 	// closed and the servers are excluded for other reasons.
 	plainRetryAfter  = 300 * time.Millisecond
 	plainRetryJitter = 300 * time.Millisecond
-	// overloadRetryAfter and overloadRetryJitter are the same delays where all slots
-	// are in use.
-	overloadRetryAfter  = 1200 * time.Millisecond
-	overloadRetryJitter = 1300 * time.Millisecond
+	// overloadRetryAfter is the least delay after a refusal for load: callers that return
+	// sooner are not recognised by the time that they have left. The delay is at most
+	// maxReturnShare of that time, as callers wait no longer than a third of it, and at most
+	// maxOverloadRetryAfter.
+	overloadRetryAfter    = 1200 * time.Millisecond
+	maxOverloadRetryAfter = 2500 * time.Millisecond
+	maxReturnShare        = 0.33
 )
 
 // PickRequest describes a request for which a server is chosen.
@@ -205,8 +208,12 @@
 	admitted = admit(r, onTime, late, &demand)
 	if !admitted.admitted {
 		cause := newOverload(r, &admitted, onTime, late)
-		return decision{}, nil, verdict.Wrap(verdict.Overloaded, verdict.NotRun, "all slots are taken and others wait", cause).
-			WithRetryAfter(d.retryAfterOverload(admitted.expectedWait))
+		after, ok := d.returnTime(r, &admitted, onTime, late, now)
+		reason := "all slots are taken and others wait"
+		if !ok {
+			reason += ", and no slot is expected to be free in time"
+		}
+		return decision{}, nil, verdict.Wrap(verdict.Overloaded, verdict.NotRun, reason, cause).WithRetryAfter(after)
 	}
 	var otherGroups []string
 	for name, g := range t.groupLoads {
--- a/backends/retryafter.go
+++ b/backends/retryafter.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bluebellwind.example/admission"
 )
 
 // retryAfterUnavailable returns how long a caller should wait before it retries if
@@ -41,11 +43,33 @@
 	return shortest
 }
 
-// retryAfterOverload returns how long a caller should wait before it retries after
-// a refusal for load: at least until the requests that wait now have been served.
-// Jitter spreads the retries.
-func (d *Directory) retryAfterOverload(wait time.Duration) time.Duration {
-	return d.withJitter(max(wait, overloadRetryAfter), overloadRetryJitter)
+// returnTime returns how long a caller should wait before it retries after a refusal for
+// load. ok is false if no capacity is expected within the time that callers wait. The caller
+// holds the lock.
+func (d *Directory) returnTime(r *PickRequest, refused *decision, onTime, late *pool, now time.Time) (after time.Duration, ok bool) {
+	latest := maxOverloadRetryAfter
+	if r.UntilDeadline > 0 {
+		latest = min(latest, time.Duration(maxReturnShare*float64(r.UntilDeadline)))
+	}
+	after, ok = d.demand.ReturnTime(&admission.Refusal{
+		Service: r.ServiceName, Priority: r.Priority, Ahead: refused.ahead, FreedPerSecond: freedPerSecond(onTime, late),
+		Earliest: max(refused.expectedWait, overloadRetryAfter), Latest: latest, Gateways: r.GatewayCount,
+	}, now)
+	if ok && !r.RefusedBefore { // Callers return once.
+		d.demand.RecordPromise(r.ServiceName, r.Priority, after, now)
+	}
+	return after, ok
+}
+
+// freedPerSecond returns how many slots of the pools become free in a second.
+func freedPerSecond(pools ...*pool) float64 {
+	freed := 0.0
+	for _, p := range pools {
+		if p.slots > 0 && p.serviceTime > 0 {
+			freed += float64(p.slots) / p.serviceTime.Seconds()
+		}
+	}
+	return freed
 }
 
 // withJitter adds a random delay below jitter to base, so that callers refused
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -108,6 +108,13 @@
 			service.ClassReturns = append(service.ClassReturns, rateToUnits(c.ReturnsPerSecond))
 			service.ClassUnanswered = append(service.ClassUnanswered, uint32(c.Unanswered))
 		}
+		spans := longestPromised(s.Classes)
+		service.PromisedSpans = uint32(spans)
+		for _, c := range s.Classes {
+			for i := range spans {
+				service.ClassPromised = append(service.ClassPromised, promisedAt(c.Promised, i))
+			}
+		}
 		for _, o := range s.Organisations[:min(len(s.Organisations), organisations)] {
 			service.Organisations = append(service.Organisations, o.Organisation)
 			service.OrganisationPriorities = append(service.OrganisationPriorities, uint32(o.Priority))
@@ -118,6 +125,21 @@
 	return told
 }
 
+func longestPromised(classes []admission.ClassDemand) int {
+	longest := 0
+	for _, c := range classes {
+		longest = max(longest, len(c.Promised))
+	}
+	return longest
+}
+
+func promisedAt(promised []int, i int) uint32 {
+	if i >= len(promised) {
+		return 0
+	}
+	return uint32(promised[i])
+}
+
 func rateToUnits(rate float64) uint32 { return uint32(math.Round(rate * ratesPerUnit)) }
 
 // demandFromProto leaves out what is not complete.
@@ -138,15 +160,21 @@
 func serviceFromProto(s *meshpb.ServiceDemand) (service admission.ServiceDemand, ok bool) {
 	classes, organisations := len(s.ClassPriorities), len(s.Organisations)
 	if len(s.ClassNew) != classes || len(s.ClassReturns) != classes || len(s.ClassUnanswered) != classes ||
+		uint64(len(s.ClassPromised)) != uint64(s.PromisedSpans)*uint64(classes) ||
 		len(s.OrganisationPriorities) != organisations || len(s.OrganisationRates) != organisations {
 		return service, false
 	}
 	service.Service = s.Service
 	for i := range classes {
-		service.Classes = append(service.Classes, admission.ClassDemand{
+		class := admission.ClassDemand{
 			Priority: int(s.ClassPriorities[i]), NewPerSecond: float64(s.ClassNew[i]) / ratesPerUnit,
 			ReturnsPerSecond: float64(s.ClassReturns[i]) / ratesPerUnit, Unanswered: int(s.ClassUnanswered[i]),
-		})
+		}
+		spans := int(s.PromisedSpans)
+		for _, n := range s.ClassPromised[i*spans : (i+1)*spans] {
+			class.Promised = append(class.Promised, int(n))
+		}
+		service.Classes = append(service.Classes, class)
 	}
 	for i := range organisations {
 		service.Organisations = append(service.Organisations, admission.OrganisationDemand{
--- a/internal/node/demand_test.go
+++ b/internal/node/demand_test.go
@@ -133,11 +133,14 @@
 func TestDemandReportsSurviveTheWire(t *testing.T) {
 	report := admission.Report{Origin: 7, Age: 300 * time.Millisecond, Services: []admission.ServiceDemand{{
 		Service:       9,
-		Classes:       []admission.ClassDemand{{Priority: 1, NewPerSecond: 2.5, ReturnsPerSecond: 0.5, Unanswered: 3}},
+		Classes:       []admission.ClassDemand{{Priority: 1, NewPerSecond: 2.5, ReturnsPerSecond: 0.5, Unanswered: 3, Promised: []int{0, 2}}},
 		Organisations: []admission.OrganisationDemand{{Organisation: 5, Priority: 1, PerSecond: 2.5}},
 	}}}
 	told := demandToProto([]admission.Report{report})
 	assert.DeepEqual(t, demandFromProto(told), []admission.Report{report})
+	told[0].Services[0].PromisedSpans = math.MaxUint32
+	assert.Equal(t, len(demandFromProto(told)[0].Services), 0)
+	told = demandToProto([]admission.Report{report})
 	told[0].Services[0].ClassNew = nil
 	assert.Equal(t, len(demandFromProto(told)[0].Services), 0)
 }
