Count only the demand of the groups that a request may use

A request that avoids a group, in which it has failed, was compared with the more urgent requests of the whole service, of which the other groups take their part. The demand is scaled by the share of the slots. TestAvoidedGroupsTakeTheirPartOfTheDemand covers it.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -345,10 +345,18 @@
 	}
 }
 
+// Scaled returns the given share of the demand.
+func (d *Demand) Scaled(share float64) Demand {
+	scaled := *d
+	scaled.scale(share)
+	return scaled
+}
+
 func (d *Demand) scale(factor float64) {
 	for p := range Priorities {
 		d.NewPerSecond[p] *= factor
 		d.PerSecond[p] *= factor
+		d.PromisedPerSecond[p] *= factor
 		d.Unanswered[p] *= factor
 	}
 }
--- a/backends/admit_test.go
+++ b/backends/admit_test.go
@@ -208,3 +208,15 @@
 	}
 	assert.Assert(t, refused*100 <= sent, "%d of %d requests were refused", refused, sent)
 }
+
+// A request that avoids a group competes with the more urgent requests of the other group
+// only, not with those of the whole service.
+func TestAvoidedGroupsTakeTheirPartOfTheDemand(t *testing.T) {
+	demand := &admission.Demand{Known: true, PerSecond: [admission.Priorities]float64{100, 0, 50}, NewPerSecond: [admission.Priorities]float64{100, 0, 50}}
+	r := newRequest(9)
+	r.Priority = 2
+	whole := &pool{groups: 2, groupLoad: groupLoad{slots: 640, running: 640, waiting: 64, serviceTime: 2 * time.Second}}
+	half := &pool{groups: 1, demandShare: 0.5, groupLoad: groupLoad{slots: 320, running: 320, waiting: 32, serviceTime: 2 * time.Second}}
+	difference := half.estimateWait(r, demand).Wait - whole.estimateWait(r, demand).Wait
+	assert.Assert(t, difference.Abs() < 20*time.Millisecond, "%v", difference)
+}
--- a/backends/load.go
+++ b/backends/load.go
@@ -56,6 +56,9 @@
 type pool struct {
 	groupLoad
 	groups int
+	// demandShare is the share of the service's demand that the pool gets; 1 if zero. It is
+	// below 1 for a request that avoids some groups, which others use.
+	demandShare float64
 }
 
 func (p *pool) add(g groupLoad) {
@@ -82,6 +85,10 @@
 		Slots: p.slots, Running: p.running, Waiting: p.waiting,
 		Arrived: p.arrivalsSinceReport(r.GatewayCount, ended), Ended: ended, ServiceTime: p.serviceTime,
 	}
+	if p.demandShare > 0 && p.demandShare < 1 {
+		scaled := demand.Scaled(p.demandShare)
+		demand = &scaled
+	}
 	return admission.EstimateWait(&load, demand, r.Priority)
 }
 
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -230,8 +230,16 @@
 func (d *Directory) pools(r *PickRequest, t *serviceTable, now time.Time) (onTime, late *pool) {
 	for _, stalled := range []bool{false, true} {
 		onTime, late = &pool{}, &pool{}
+		onTimeSlots, allSlots := 0, 0
 		for name, load := range t.groupLoads {
-			if load.stalled != stalled || slices.Contains(r.AvoidGroups, name) {
+			if load.stalled != stalled {
+				continue
+			}
+			allSlots += load.slots
+			if !load.late {
+				onTimeSlots += load.slots
+			}
+			if slices.Contains(r.AvoidGroups, name) {
 				continue
 			}
 			load.sendsPerSecond = d.ensureGroup(name).meter.rateAt(now)
@@ -241,6 +249,9 @@
 				onTime.add(load)
 			}
 		}
+		// Late groups get requests only while those that are on time have no slots.
+		onTime.demandShare = float64(onTime.slots) / float64(max(1, onTimeSlots))
+		late.demandShare = float64(late.slots) / float64(max(1, allSlots))
 		if onTime.groups+late.groups > 0 {
 			break
 		}
