--- a/internal/node/demand_test.go
+++ b/internal/node/demand_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"os"
 	"slices"
 	"testing"
@@ -11,8 +13,11 @@
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"bluebellwind.example/admission"
+	"bluebellwind.example/backends"
+	"bluebellwind.example/mesh"
 	"bluebellwind.example/mesh/meshpb"
 )
 
@@ -156,3 +161,44 @@
 	assert.Assert(t, len(told[0].Services[0].Organisations) > 10)
 	assert.Equal(t, told[0].Services[0].OrganisationRates[0], uint32(10000))
 }
+
+// Guards against an exchange that is correct in the model but not connected to the mesh.
+func TestDemandIsExchangedThroughTheMesh(t *testing.T) {
+	var directories []*backends.Directory
+	seed := ""
+	for i := range 2 {
+		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := socket.LocalAddr().String()
+		assert.NilError(t, socket.Close())
+		if seed == "" {
+			seed = address
+		}
+		name := fmt.Sprintf("gateway-%d", i)
+		exchange := &demandExchange{directory: backends.NewDirectory("z", uint64(i))}
+		exchange.directory.SetSelf(name)
+		node, err := mesh.Listen(mesh.Options{
+			Self:    mesh.Peer{ID: name, Address: address, Role: mesh.Gateway, Zone: "z", Incarnation: 1},
+			Seeds:   []string{seed},
+			Handler: exchange.handle,
+			OnError: func(error) {},
+		})
+		assert.NilError(t, err)
+		exchange.mesh = node
+		ctx, stop := context.WithCancel(context.Background())
+		t.Cleanup(stop)
+		go node.Run(ctx)
+		go exchange.run(ctx)
+		directories = append(directories, exchange.directory)
+	}
+	for i := range directories {
+		other := admission.Hash(fmt.Sprintf("gateway-%d", 1-i))
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			reports := directories[i].DemandReports(1, time.Now())
+			if len(reports) == 2 && reports[1].Origin == other {
+				return poll.Success()
+			}
+			return poll.Continue("gateway %d has heard of no demand", i)
+		}, poll.WithTimeout(10*time.Second))
+	}
+}
