Weigh copies of experts by the time of requests that they save

Cause: a plan needed a gain for each copy that hardly depended on the load (a factor of 4 at most) and not at all on how long popularity lasts, so that an idle group of 32 ranks copied 300 experts a second. And only the mean of the copies of all ranks was bounded (0.2 s of a link): single ranks copied 8 to 10 experts (0.3 s), for which the switch and the whole group waited on the old map.

Groups without a size of experts or rate of a link are planned for as before. New metrics bluebellwind_map_plans_total{result} and bluebellwind_map_copied_bytes_total, log line map_plans_dropped.

--- a/groupmap/plan.go
+++ b/groupmap/plan.go
@@ -12,6 +12,10 @@
 	TargetSkew float64
 	// MaxCopies is the greatest number of experts that a plan may copy.
 	MaxCopies int
+	// MaxCopiesPerRank is the greatest number of experts, of all sets together, that a
+	// plan may copy to one rank; zero means no bound. A switch lasts as long as its
+	// slowest rank copies.
+	MaxCopiesPerRank int
 	// MinGainPerCopy is the least gain that justifies copying one expert. A gain
 	// is the decrease of the skew of one set, as measured by the objective of the
 	// search; it is not divided by the number of sets.
@@ -52,8 +56,13 @@
 func Plan(current *Map, d Demand, s Shape, l Limits) PlanResult {
 	out := PlanResult{Map: current.Clone()}
 	balancers := make([]*setBalancer, s.Sets)
+	allCopiesToRank := make([]int, s.Ranks)
 	for i := range balancers {
 		balancers[i] = newSetBalancer(out.Map.Experts[i], d.Load[i], d.TokenTimes, s)
+		balancers[i].allCopiesToRank = allCopiesToRank
+		if l.MaxCopiesPerRank > 0 {
+			balancers[i].maxAllCopiesPerRank = l.MaxCopiesPerRank
+		}
 		out.SkewBefore += balancers[i].skew() / float64(s.Sets)
 	}
 	for copies := 0; copies < l.MaxCopies; {
@@ -68,6 +77,9 @@
 		}
 		balancers[bestSet].apply(best)
 		copies += best.copies
+		for _, b := range balancers {
+			b.dropCachedMoveIfBarred()
+		}
 	}
 	for i, b := range balancers {
 		out.Map.Experts[i] = b.expertsByRank
@@ -93,6 +105,10 @@
 	maxCopiesPerRank  int
 	// copiesToRank is the number of experts that this plan copies to each rank.
 	copiesToRank []int
+	// allCopiesToRank is the same for all sets together; the balancers of a plan share
+	// it. maxAllCopiesPerRank bounds it.
+	allCopiesToRank     []int
+	maxAllCopiesPerRank int
 	// ranksByExpert lists the ranks that hold each expert.
 	ranksByExpert [][]int
 	// savedRankTime is a buffer in which evaluateMove keeps rankTime.
@@ -124,16 +140,18 @@
 		tokenTimes = slices.Repeat([]float64{1}, s.Ranks)
 	}
 	b := &setBalancer{
-		expertsByRank:     expertsByRank,
-		expertLoad:        expertLoad,
-		replicas:          make([]int, s.Experts),
-		tokenTimes:        tokenTimes,
-		rankTime:          make([]float64, s.Ranks),
-		maxExpertsPerRank: s.MaxExpertsPerRank,
-		maxCopiesPerRank:  s.MaxCopiesPerRank,
-		copiesToRank:      make([]int, s.Ranks),
-		ranksByExpert:     make([][]int, s.Experts),
-		savedRankTime:     make([]float64, s.Ranks),
+		expertsByRank:       expertsByRank,
+		expertLoad:          expertLoad,
+		replicas:            make([]int, s.Experts),
+		tokenTimes:          tokenTimes,
+		rankTime:            make([]float64, s.Ranks),
+		maxExpertsPerRank:   s.MaxExpertsPerRank,
+		maxCopiesPerRank:    s.MaxCopiesPerRank,
+		copiesToRank:        make([]int, s.Ranks),
+		maxAllCopiesPerRank: math.MaxInt,
+		allCopiesToRank:     make([]int, s.Ranks),
+		ranksByExpert:       make([][]int, s.Experts),
+		savedRankTime:       make([]float64, s.Ranks),
 	}
 	for r, experts := range expertsByRank {
 		for _, e := range experts {
@@ -185,7 +203,7 @@
 			b.evaluateMove(&best, move{expert: int(e), toRank: -1, dropped: -1, fromRank: fromRank, returned: -1})
 		}
 		for toRank := range b.rankTime {
-			if toRank == fromRank || b.copiesToRank[toRank] >= b.maxCopiesPerRank || slices.Contains(b.expertsByRank[toRank], e) {
+			if toRank == fromRank || !b.mayCopyTo(toRank) || slices.Contains(b.expertsByRank[toRank], e) {
 				continue
 			}
 			b.evaluateMoves(&best, fromRank, int(e), toRank)
@@ -194,6 +212,23 @@
 	return best
 }
 
+// mayCopyTo reports whether the limits let this plan copy another expert to a rank.
+func (b *setBalancer) mayCopyTo(rank int) bool {
+	return b.copiesToRank[rank] < b.maxCopiesPerRank && b.allCopiesToRank[rank] < b.maxAllCopiesPerRank
+}
+
+// dropCachedMoveIfBarred discards the cached move if a move of another set has used up
+// what may be copied to its ranks.
+func (b *setBalancer) dropCachedMoveIfBarred() {
+	m := b.cachedMove
+	if m == nil || m.copies == 0 {
+		return
+	}
+	if !b.mayCopyTo(m.toRank) || m.returned >= 0 && !b.mayCopyTo(m.fromRank) {
+		b.cachedMove = nil
+	}
+}
+
 // evaluateMoves evaluates every way to give expert e, which fromRank holds, to
 // toRank.
 func (b *setBalancer) evaluateMoves(best *move, fromRank, e, toRank int) {
@@ -209,7 +244,7 @@
 		case b.replicas[d] > 1:
 			b.evaluateMove(best, move{expert: e, toRank: toRank, dropped: int(d), fromRank: -1, returned: -1, copies: 1})
 			b.evaluateMove(best, move{expert: e, toRank: toRank, dropped: int(d), fromRank: fromRank, returned: -1, copies: 1})
-		case b.copiesToRank[fromRank] < b.maxCopiesPerRank && !slices.Contains(b.expertsByRank[fromRank], d):
+		case b.mayCopyTo(fromRank) && !slices.Contains(b.expertsByRank[fromRank], d):
 			b.evaluateMove(best, move{expert: e, toRank: toRank, dropped: int(d), fromRank: fromRank, returned: int(d), copies: 2})
 		}
 	}
@@ -318,6 +353,7 @@
 	b.expertsByRank[rank] = append(b.expertsByRank[rank], uint16(e))
 	b.ranksByExpert[e] = append(b.ranksByExpert[e], rank)
 	b.copiesToRank[rank]++
+	b.allCopiesToRank[rank]++
 }
 
 // removeExpert removes an expert from a rank.
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -60,6 +60,7 @@
 	// mapSwitch is nil until the group of the local rank is known.
 	mapSwitch  *groupmap.Switch
 	popularity popularity
+	dropped    droppedPlans
 	// shape and engineConfig are zero until readShape has read them.
 	shape        groupmap.Shape
 	engineConfig *ingress.Engine
--- a/rankagent/leader_test.go
+++ b/rankagent/leader_test.go
@@ -71,7 +71,7 @@
 
 func TestPlanLimitsBearAnyConfiguration(t *testing.T) {
 	for _, e := range []ingress.Experts{{}, {MegabytesEach: 1e-12, LinkMbps: 1e12}, {MegabytesEach: 1e12, LinkMbps: 1e-12}} {
-		limits := planLimits(e, 8, 0)
+		limits := planLimits(e, 8, 0, groupmap.Worth{Requests: 1, Lifetime: time.Second}, 2)
 		assert.Assert(t, limits.MaxCopies >= 8, "%+v", limits)
 	}
 }
--- a/rankagent/metrics.go
+++ b/rankagent/metrics.go
@@ -12,6 +12,8 @@
 	set *metrics.Set
 	// switches counts the switches that were started.
 	switches *metrics.Counter
+	// copiedBytes counts the bytes of experts that the switches started copy.
+	copiedBytes *metrics.Counter
 	// skew is the skew of the map in use at the last plan, see groupmap.Skew, in
 	// thousandths.
 	skew atomic.Int64
@@ -21,7 +23,7 @@
 
 func newAgentMetrics(a *Agent) *agentMetrics {
 	set := metrics.NewSet()
-	m := &agentMetrics{set: set, switches: set.NewCounter("bluebellwind_map_switches_total")}
+	m := &agentMetrics{set: set, switches: set.NewCounter("bluebellwind_map_switches_total"), copiedBytes: set.NewCounter("bluebellwind_map_copied_bytes_total")}
 	set.NewGauge("bluebellwind_rank_skew", func() float64 { return float64(m.skew.Load()) / 1000 })
 	set.NewGauge("bluebellwind_rank_relative_pass_time", func() float64 { return float64(m.relativePassTime.Load()) / paceUnit })
 	set.NewGauge("bluebellwind_rank_up", func() float64 {
@@ -35,6 +37,11 @@
 	return m
 }
 
+// countPlan counts a plan by what became of it.
+func (m *agentMetrics) countPlan(result planResult) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_map_plans_total{result=%q}", string(result))).Inc()
+}
+
 func (m *agentMetrics) countOrder(kind string, err error) {
 	result := "answered"
 	if err != nil {
--- a/rankagent/planner.go
+++ b/rankagent/planner.go
@@ -14,13 +14,15 @@
 	// targetSkew is the load of the busiest rank over the mean load at which a set
 	// of experts needs no improvement.
 	targetSkew = 1.06
-	// maxCopyDuration is how long the ranks may copy experts for one plan, on
-	// average: popularity changes within seconds, and passes take longer during
-	// the copy. A plan may always copy one expert for each rank.
-	maxCopyDuration = 200 * time.Millisecond
-	// maxCopiesEach bounds the experts that one plan copies to each rank, on average,
-	// however fast the link is.
+	// maxCopyDuration is how long a rank may copy experts for one plan: popularity
+	// changes within seconds, and a switch waits for the rank that copies longest. A
+	// plan may always copy one expert to each rank.
+	maxCopyDuration = 120 * time.Millisecond
+	// maxCopiesEach bounds the experts that one plan copies to each rank, however fast
+	// the link is.
 	maxCopiesEach = 1000
+	// maxCopySeconds bounds the time of a copy that plans reckon with.
+	maxCopySeconds = 3600.0
 	// minGainPerGigabyte is the least gain, see groupmap.Limits, that justifies
 	// copying one gigabyte in a group of referenceRanks ranks. The required gain
 	// is inversely proportional to the number of ranks, since a larger group
@@ -37,20 +39,44 @@
 	minGainFactor      = 0.4
 )
 
-// planLimits returns the limits of a plan for a group with the given busy
-// share. The gain of a plan must make up for the cost of its copies before
-// popularity changes again.
-func planLimits(e ingress.Experts, ranks int, busyShare float64) groupmap.Limits {
-	gainFactor := min(maxGainFactor, max(minGainFactor, math.Pow(referenceBusyShare/max(busyShare, 0.01), 2)))
-	minGainPerCopy := minGainPerGigabyte * e.MegabytesEach / 1000 * referenceRanks / float64(max(1, ranks))
-	limits := groupmap.Limits{TargetSkew: targetSkew, MaxCopies: ranks, MinGainPerCopy: gainFactor * minGainPerCopy}
-	if e.MegabytesEach > 0 && e.LinkMbps > 0 {
-		copies := maxCopyDuration.Seconds() * e.LinkMbps / (e.MegabytesEach * 8)
-		limits.MaxCopies = ranks * int(min(maxCopiesEach, max(1, copies)))
+// planLimits returns the limits of a plan for a group with the given busy share, whose
+// map in use has the given skew. If the size of an expert and the rate of the link are
+// known, the gain of a copy is weighed by w, otherwise by the busy share and the number
+// of ranks.
+func planLimits(e ingress.Experts, ranks int, busyShare float64, w groupmap.Worth, skew float64) groupmap.Limits {
+	limits := groupmap.Limits{TargetSkew: targetSkew, MaxCopies: ranks}
+	if !weighable(e) {
+		gainFactor := min(maxGainFactor, max(minGainFactor, math.Pow(referenceBusyShare/max(busyShare, 0.01), 2)))
+		limits.MinGainPerCopy = gainFactor * minGainPerGigabyte * e.MegabytesEach / 1000 * referenceRanks / float64(max(1, ranks))
+		return limits
 	}
+	copies := maxCopyDuration.Seconds() / copySeconds(e)
+	limits.MaxCopiesPerRank = int(min(maxCopiesEach, max(1, copies)))
+	limits.MaxCopies = ranks * limits.MaxCopiesPerRank
+	limits.MinGainPerCopy = w.MinGainPerCopy(shapeOf(e, ranks), skew)
 	return limits
 }
 
+// weighable reports whether the cost of copying an expert is known.
+func weighable(e ingress.Experts) bool { return e.MegabytesEach > 0 && e.LinkMbps > 0 }
+
+// copySeconds returns how long a rank copies one expert, at most maxCopySeconds.
+func copySeconds(e ingress.Experts) float64 {
+	return min(maxCopySeconds, e.MegabytesEach*8/e.LinkMbps)
+}
+
+// worth returns what a copy of an expert costs, and who benefits from it.
+func (l *leader) worth(now time.Time) groupmap.Worth {
+	e := l.engineConfig.Experts
+	if !weighable(e) {
+		return groupmap.Worth{}
+	}
+	return groupmap.Worth{
+		Requests: l.requests(), Lifetime: l.popularity.lifetime.Remaining(now),
+		CopyDuration: time.Duration(copySeconds(e) * float64(time.Second)), Gigabytes: e.MegabytesEach / 1000,
+	}
+}
+
 // plan starts a switch to a better map if the gain justifies its cost.
 func (l *leader) plan(ctx context.Context, now time.Time) {
 	if l.planning || l.agent.stopping || l.group.Rank != initiatorRank || !l.mapSwitch.Ready() {
@@ -72,7 +98,7 @@
 	if current == nil || l.popularity.epoch != epoch || current.Validate(l.shape) != nil || !l.popularity.fits(l.shape) {
 		return
 	}
-	load := l.popularity.loadBySet(current, l.shape)
+	load := l.popularity.loadBySet(current, l.shape, now)
 	if load == nil {
 		return
 	}
@@ -81,7 +107,7 @@
 	l.planning = true
 	go l.computePlan(planInput{
 		current: current, epoch: epoch, shape: l.shape, demand: groupmap.Demand{Load: cloneLoad(load), TokenTimes: l.tokenTimes()},
-		limits: planLimits(l.engineConfig.Experts, l.group.Size, l.busyShare()),
+		experts: l.engineConfig.Experts, busyShare: l.busyShare(), worth: l.worth(now),
 	})
 }
 
@@ -91,7 +117,38 @@
 	epoch   uint64
 	demand  groupmap.Demand
 	shape   groupmap.Shape
-	limits  groupmap.Limits
+	experts ingress.Experts
+	// busyShare and worth are what the cost of the plan is weighed by.
+	busyShare float64
+	worth     groupmap.Worth
+}
+
+// planResult tells what became of a plan. It is the label "result" of the metric of plans.
+type planResult string
+
+const (
+	planStarted  planResult = "started"
+	planNotWorth planResult = "not_worth"
+	planEmpty    planResult = "no_gain"
+	planOutdated planResult = "outdated"
+)
+
+// improve computes a plan and decides whether it is worth carrying out: the result is
+// planStarted, planNotWorth or planEmpty.
+func (in planInput) improve() (groupmap.PlanResult, planResult) {
+	skew := groupmap.Skew(in.current, in.demand, in.shape)
+	limits := planLimits(in.experts, in.shape.Ranks, in.busyShare, in.worth, skew)
+	if math.IsInf(limits.MinGainPerCopy, 1) {
+		return groupmap.PlanResult{Map: in.current, SkewBefore: skew, SkewAfter: skew}, planNotWorth
+	}
+	out := groupmap.Plan(in.current, in.demand, in.shape, limits)
+	switch gain := out.SkewBefore - out.SkewAfter; {
+	case gain <= 0:
+		return out, planEmpty
+	case gain < minSkewGain || weighable(in.experts) && !in.worth.Justifies(out, in.shape):
+		return out, planNotWorth
+	}
+	return out, planStarted
 }
 
 func cloneLoad(load [][]float64) [][]float64 {
@@ -106,29 +163,67 @@
 // plan for a large group takes long, so the agent is not locked meanwhile.
 func (l *leader) computePlan(in planInput) {
 	began := time.Now()
-	out := groupmap.Plan(in.current, in.demand, in.shape, in.limits)
+	out, result := in.improve()
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
 	l.planning = false
 	l.agent.metrics.skew.Store(int64(out.SkewBefore * 1000))
 	version, epoch := l.mapSwitch.Version()
-	if l.agent.stopping || out.SkewBefore-out.SkewAfter < minSkewGain || version != in.current.Version || epoch != in.epoch || l.shape != in.shape {
+	if result != planStarted {
+		l.agent.metrics.countPlan(result)
+		l.noteDropped(out, in, result, time.Now())
+		return
+	}
+	if l.agent.stopping || version != in.current.Version || epoch != in.epoch || l.shape != in.shape {
+		l.agent.metrics.countPlan(planOutdated)
 		return
 	}
 	out.Map.Version = l.mapSwitch.NextVersion(uint64(l.agent.options.Uptime().Milliseconds()))
 	l.mapSwitch.SetPassDuration(l.agent.passTimer.meanDuration)
 	if !l.mapSwitch.Start(out.Map, time.Now()) {
+		l.agent.metrics.countPlan(planOutdated)
 		return
 	}
 	l.startedMap = out.Map
+	l.agent.metrics.countPlan(planStarted)
+	l.agent.metrics.copiedBytes.AddInt64(int64(float64(out.Copies) * in.experts.MegabytesEach * 1e6))
 	l.agent.metrics.switches.Inc()
 	l.agent.log.Info().Str("event", "map_planned").Str("group", l.group.Name).Uint64("epoch", epoch).
 		Uint64("version", out.Map.Version).Int("copies", out.Copies).Int64("plan_ms", time.Since(began).Milliseconds()).
-		Int64("pass_ms", l.agent.passTimer.meanDuration.Milliseconds()).Float64("busy", l.busyShare()).
+		Int64("pass_ms", l.agent.passTimer.meanDuration.Milliseconds()).Float64("busy", in.busyShare).
+		Int("requests", in.worth.Requests).Int64("lifetime_ms", in.worth.Lifetime.Milliseconds()).
+		Float64("megabytes", float64(out.Copies)*in.experts.MegabytesEach).
 		Float64("skew_before", out.SkewBefore).Float64("skew_after", out.SkewAfter).Msg("")
 	l.agent.wakeLeader()
 }
 
+// droppedLogPeriod is the time between two log lines about dropped plans, of which there
+// may be one each planPeriod.
+const droppedLogPeriod = 10 * time.Second
+
+// droppedPlans counts the plans that were dropped as not worth their cost since the last
+// log line about them.
+type droppedPlans struct {
+	count    int
+	loggedAt time.Time
+}
+
+// noteDropped logs plans that were dropped as not worth their cost, once in
+// droppedLogPeriod.
+func (l *leader) noteDropped(out groupmap.PlanResult, in planInput, result planResult, now time.Time) {
+	if result != planNotWorth {
+		return
+	}
+	l.dropped.count++
+	if now.Sub(l.dropped.loggedAt) < droppedLogPeriod {
+		return
+	}
+	l.agent.log.Info().Str("event", "map_plans_dropped").Str("group", l.group.Name).Int("plans", l.dropped.count).
+		Int("copies", out.Copies).Int("requests", in.worth.Requests).Int64("lifetime_ms", in.worth.Lifetime.Milliseconds()).
+		Float64("skew_before", out.SkewBefore).Float64("skew_after", out.SkewAfter).Msg("")
+	l.dropped = droppedPlans{loggedAt: now}
+}
+
 // minSlowPassTime is the relative pass time above which a rank counts as slow. Lesser
 // differences are noise, for which no expert is worth moving.
 const minSlowPassTime = 1.3
@@ -205,11 +300,16 @@
 // its slots, the number of requests that it can run concurrently. It exceeds 1
 // if there are more requests than slots.
 func (l *leader) busyShare() float64 {
+	return float64(l.requests()) / float64(max(1, l.engineConfig.Slots*l.group.Size))
+}
+
+// requests returns the running and waiting requests of the group.
+func (l *leader) requests() int {
 	requests := 0
 	for _, n := range l.requestsByRank {
 		requests += n
 	}
-	return float64(requests) / float64(max(1, l.engineConfig.Slots*l.group.Size))
+	return requests
 }
 
 func shapeOf(e ingress.Experts, ranks int) groupmap.Shape {
--- a/rankagent/popularity.go
+++ b/rankagent/popularity.go
@@ -40,6 +40,8 @@
 	heldExperts [][][]uint16 // Indexed by rank and set.
 	mapVersions []uint64
 	setSize     int // Number of experts of one set.
+	// lifetime is learnt over all epochs: popularity does not depend on them.
+	lifetime groupmap.Lifetime
 }
 
 // rankCounts are the expert counts of one rank since its previous message.
@@ -55,7 +57,7 @@
 }
 
 func (p *popularity) reset(epoch uint64, size int) {
-	*p = popularity{epoch: epoch, reportedAt: make([]time.Time, size), heldExperts: make([][][]uint16, size), mapVersions: make([]uint64, size)}
+	*p = popularity{lifetime: p.lifetime, epoch: epoch, reportedAt: make([]time.Time, size), heldExperts: make([][][]uint16, size), mapVersions: make([]uint64, size)}
 }
 
 // add adds the counts of one rank.
@@ -105,12 +107,14 @@
 // loadBySet returns the load of each expert, indexed by set and expert, or nil
 // if there are no counts. If the skew of the current map shows that other
 // experts are in demand than before, it discards older counts first.
-func (p *popularity) loadBySet(current *groupmap.Map, shape groupmap.Shape) [][]float64 {
+func (p *popularity) loadBySet(current *groupmap.Map, shape groupmap.Shape, now time.Time) [][]float64 {
 	average, recent := p.splitSets(p.load), p.splitSets(p.recentLoad)
 	if average == nil || recent == nil {
 		return average
 	}
+	p.lifetime.Begin(now)
 	if groupmap.Skew(current, groupmap.Demand{Load: recent}, shape) > groupmap.Skew(current, groupmap.Demand{Load: average}, shape)+shiftSkewThreshold {
+		p.lifetime.Shift(now)
 		copy(p.load, p.recentLoad) // The slices of average share the memory of p.load.
 	}
 	return average
--- a/rankagent/popularity_test.go
+++ b/rankagent/popularity_test.go
@@ -30,8 +30,8 @@
 	var p popularity
 	now := addCounts(&p, time.Unix(100, 0), 8, 50, 50, 50, 50)
 	now = addCounts(&p, now, 1, 55, 50, 50, 45)
-	assert.Assert(t, p.loadBySet(first, shape)[0][3] > 45, "a small change must not discard older counts")
-	addCounts(&p, now, 1, 90, 5, 90, 5)
-	load := p.loadBySet(first, shape)[0]
+	assert.Assert(t, p.loadBySet(first, shape, now)[0][3] > 45, "a small change must not discard older counts")
+	now = addCounts(&p, now, 1, 90, 5, 90, 5)
+	load := p.loadBySet(first, shape, now)[0]
 	assert.Assert(t, load[0] > 4*load[1], "%v", load)
 }
