Plan maps that also suit popularities that may return

Cause: from a shift of popularity until a new map is in use passes are too long. So the map has to suit the next demand beforehand.

Now groupmap.Patterns remembers up to 16 distinct popularities, over epochs, and plans are for the present shares of experts and, with a weight of 0.25, for the greatest share that each had in any of them. The skew in metrics is still that of the present demand; the log line map_planned has it as "skew" beside those of the plan.

--- a/groupmap/export_test.go
+++ b/groupmap/export_test.go
@@ -7,3 +7,6 @@
 	s.holdDisabled = mechanism == "hold"
 	s.unanimityDisabled = mechanism == "unanimity"
 }
+
+// Len returns the number of popularities that p remembers.
+func (p *Patterns) Len() int { return len(p.known) }
--- a/groupmap/worth.go
+++ b/groupmap/worth.go
@@ -107,6 +107,14 @@
 	l.mean += time.Duration(lifetimeWeight * float64(interval-l.mean))
 }
 
+// Age returns for how long the present popularity has been known.
+func (l *Lifetime) Age(now time.Time) time.Duration {
+	if l.since.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(l.since))
+}
+
 // Remaining returns how long the present popularity is expected to last. Popularity
 // that has outlasted earlier ones by far is expected to last as long again, within
 // maxLifetime.
@@ -115,10 +123,7 @@
 	if mean == 0 {
 		mean = defaultLifetime
 	}
-	age := time.Duration(0)
-	if !l.since.IsZero() {
-		age = max(0, now.Sub(l.since))
-	}
+	age := l.Age(now)
 	if age > time.Duration(overdueFactor*float64(mean)) {
 		return min(age, maxLifetime)
 	}
--- a/rankagent/mapmodel_test.go
+++ b/rankagent/mapmodel_test.go
@@ -373,7 +373,11 @@
 }
 
 // agentPlanner decides as the agent does.
-type agentPlanner struct{ p popularity }
+type agentPlanner struct {
+	p popularity
+	// presentOnly makes it plan for the present demand only.
+	presentOnly bool
+}
 
 func (o *agentPlanner) add(c rankCounts, ranks int, now time.Time, period time.Duration) {
 	o.p.period = period
@@ -385,10 +389,14 @@
 	if load == nil {
 		return nil
 	}
+	demand := cloneLoad(load)
+	if !o.presentOnly {
+		demand = o.p.demand(load, m.engine, now)
+	}
 	l := &leader{engineConfig: &ingress.Engine{Experts: m.engine, Slots: modelSlots}, requestsByRank: map[int]int{0: requests}}
 	l.group.Size = m.shape.Ranks
 	l.popularity.lifetime = o.p.lifetime
-	in := planInput{current: m.current, shape: m.shape, demand: groupmap.Demand{Load: cloneLoad(load)}, experts: m.engine, busyShare: l.busyShare(), worth: l.worth(now)}
+	in := planInput{current: m.current, shape: m.shape, demand: groupmap.Demand{Load: demand}, experts: m.engine, busyShare: l.busyShare(), worth: l.worth(now)}
 	out, result := in.improve()
 	if result != planStarted {
 		return nil
@@ -405,16 +413,17 @@
 }
 
 var modelPlanners = map[string]func() modelPlanner{
-	"before": func() modelPlanner { return &fixedGainPlanner{} },
-	"after":  func() modelPlanner { return &agentPlanner{} },
-	"oracle": func() modelPlanner { return oraclePlanner{} },
+	"before":  func() modelPlanner { return &fixedGainPlanner{} },
+	"after":   func() modelPlanner { return &agentPlanner{} },
+	"present": func() modelPlanner { return &agentPlanner{presentOnly: true} },
+	"oracle":  func() modelPlanner { return oraclePlanner{} },
 }
 
 // modelRun returns the mean result of a planner over several runs of the model.
-func modelRun(planner string, ranks int, running float64, shift, duration time.Duration, seeds int) modelResult {
+func modelRun(planner string, ranks int, running float64, shift, duration time.Duration, firstSeed, seeds int) modelResult {
 	var out modelResult
 	for seed := range seeds {
-		m := newMapModel(uint64(seed), modelEngine(ranks), ranks, running, shift)
+		m := newMapModel(uint64(firstSeed+seed), modelEngine(ranks), ranks, running, shift)
 		m.planner = modelPlanners[planner]()
 		r := m.run(duration)
 		out.late += r.late / float64(seeds)
@@ -429,11 +438,11 @@
 // Guards against copies that nobody benefits from, and against busy groups whose passes
 // become longer because their plans save copies.
 func TestPlansAreWorthTheirCopies(t *testing.T) {
-	const shift, duration, seeds = 3 * time.Second, 14 * time.Second, 2
+	const shift, duration, seeds = 3 * time.Second, 22 * time.Second, 4
 	compare := func(running float64) (before, after modelResult) {
 		var wg sync.WaitGroup
-		wg.Go(func() { before = modelRun("before", 32, running, shift, duration, seeds) })
-		wg.Go(func() { after = modelRun("after", 32, running, shift, duration, seeds) })
+		wg.Go(func() { before = modelRun("before", 32, running, shift, duration, 0, seeds) })
+		wg.Go(func() { after = modelRun("after", 32, running, shift, duration, 0, seeds) })
 		wg.Wait()
 		t.Logf("%v requests a rank, before: %+v", running, before)
 		t.Logf("%v requests a rank, after: %+v", running, after)
@@ -448,12 +457,14 @@
 
 // TestMapFigures prints the figures of docs/design/map-cost.md if BBW_MAP_MODEL lists
 // planners, with numbers of ranks, running requests of a rank and seconds between
-// shifts, such as "before,after 8,32 0.1,3,9 2,6,30,0".
+// shifts, such as "before,after 8,32 0.1,3,9 2,6,30,0". The seconds and the number of runs
+// and the first seed may follow, in place of "16 2 0".
 func TestMapFigures(t *testing.T) {
 	fields := strings.Fields(os.Getenv("BBW_MAP_MODEL"))
-	if len(fields) != 4 {
+	if len(fields) < 4 {
 		t.Skip("BBW_MAP_MODEL is not set")
 	}
+	fields = append(fields, []string{"16", "2", "0"}[min(3, len(fields)-4):]...)
 	numbers := func(list string) (out []float64) {
 		for s := range strings.SplitSeq(list, ",") {
 			x, err := strconv.ParseFloat(s, 64)
@@ -462,6 +473,7 @@
 		}
 		return out
 	}
+	seconds, runs, firstSeed := numbers(fields[4])[0], int(numbers(fields[5])[0]), int(numbers(fields[6])[0])
 	for _, ranks := range numbers(fields[1]) {
 		for _, running := range numbers(fields[2]) {
 			for _, shift := range numbers(fields[3]) {
@@ -470,7 +482,7 @@
 				var wg sync.WaitGroup
 				for i, name := range names {
 					wg.Go(func() {
-						results[i] = modelRun(name, int(ranks), running, time.Duration(shift*float64(time.Second)), 16*time.Second, 2)
+						results[i] = modelRun(name, int(ranks), running, time.Duration(shift*float64(time.Second)), time.Duration(seconds)*time.Second, firstSeed, runs)
 					})
 				}
 				wg.Wait()
--- a/rankagent/planner.go
+++ b/rankagent/planner.go
@@ -106,7 +106,8 @@
 	l.currentMap = current
 	l.planning = true
 	go l.computePlan(planInput{
-		current: current, epoch: epoch, shape: l.shape, demand: groupmap.Demand{Load: cloneLoad(load), TokenTimes: l.tokenTimes()},
+		current: current, epoch: epoch, shape: l.shape, present: cloneLoad(load),
+		demand:  groupmap.Demand{Load: l.popularity.demand(load, l.engineConfig.Experts, now), TokenTimes: l.tokenTimes()},
 		experts: l.engineConfig.Experts, busyShare: l.busyShare(), worth: l.worth(now),
 	})
 }
@@ -115,6 +116,8 @@
 type planInput struct {
 	current *groupmap.Map
 	epoch   uint64
+	// present is the present load, and demand what the map is planned for.
+	present [][]float64
 	demand  groupmap.Demand
 	shape   groupmap.Shape
 	experts ingress.Experts
@@ -164,10 +167,11 @@
 func (l *leader) computePlan(in planInput) {
 	began := time.Now()
 	out, result := in.improve()
+	presentSkew := groupmap.Skew(in.current, groupmap.Demand{Load: in.present, TokenTimes: in.demand.TokenTimes}, in.shape)
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
 	l.planning = false
-	l.agent.metrics.skew.Store(int64(out.SkewBefore * 1000))
+	l.agent.metrics.skew.Store(int64(presentSkew * 1000))
 	version, epoch := l.mapSwitch.Version()
 	if result != planStarted {
 		l.agent.metrics.countPlan(result)
@@ -193,7 +197,7 @@
 		Int64("pass_ms", l.agent.passTimer.meanDuration.Milliseconds()).Float64("busy", in.busyShare).
 		Int("requests", in.worth.Requests).Int64("lifetime_ms", in.worth.Lifetime.Milliseconds()).
 		Float64("megabytes", float64(out.Copies)*in.experts.MegabytesEach).
-		Float64("skew_before", out.SkewBefore).Float64("skew_after", out.SkewAfter).Msg("")
+		Float64("skew", presentSkew).Float64("skew_before", out.SkewBefore).Float64("skew_after", out.SkewAfter).Msg("")
 	l.agent.wakeLeader()
 }
 
--- a/rankagent/popularity.go
+++ b/rankagent/popularity.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bluebellwind.example/groupmap"
+	"bluebellwind.example/ingress"
 )
 
 const (
@@ -40,8 +41,10 @@
 	heldExperts [][][]uint16 // Indexed by rank and set.
 	mapVersions []uint64
 	setSize     int // Number of experts of one set.
-	// lifetime is learnt over all epochs: popularity does not depend on them.
+	// lifetime and patterns are learnt over all epochs: popularity does not depend on
+	// them.
 	lifetime groupmap.Lifetime
+	patterns groupmap.Patterns
 }
 
 // rankCounts are the expert counts of one rank since its previous message.
@@ -57,7 +60,7 @@
 }
 
 func (p *popularity) reset(epoch uint64, size int) {
-	*p = popularity{lifetime: p.lifetime, epoch: epoch, reportedAt: make([]time.Time, size), heldExperts: make([][][]uint16, size), mapVersions: make([]uint64, size)}
+	*p = popularity{lifetime: p.lifetime, patterns: p.patterns, epoch: epoch, reportedAt: make([]time.Time, size), heldExperts: make([][][]uint16, size), mapVersions: make([]uint64, size)}
 }
 
 // add adds the counts of one rank.
@@ -120,6 +123,16 @@
 	return average
 }
 
+// demand returns the load to plan for, given the present one: it remembers the present
+// popularity and considers earlier ones, unless copies cannot be weighed.
+func (p *popularity) demand(load [][]float64, e ingress.Experts, now time.Time) [][]float64 {
+	if !weighable(e) {
+		return cloneLoad(load)
+	}
+	p.patterns.Remember(load, p.lifetime.Age(now), now)
+	return p.patterns.Anticipate(load)
+}
+
 // splitSets splits a load into its sets. It returns nil if the total is zero.
 func (p *popularity) splitSets(load []float64) [][]float64 {
 	total := 0.0
--- a/rankagent/stop_test.go
+++ b/rankagent/stop_test.go
@@ -100,6 +100,7 @@
 		l.engineConfig = &ingress.Engine{Slots: 1}
 		l.computePlan(planInput{
 			current: groupmap.InitialMap(l.shape), epoch: 1, shape: l.shape,
+			present: [][]float64{{100, 1, 100, 1}},
 			demand:  groupmap.Demand{Load: [][]float64{{100, 1, 100, 1}}},
 			experts: ingress.Experts{Sets: 1, PerSet: 4, Places: 4, Spare: 2, MegabytesEach: 150, LinkMbps: 40000},
 			worth:   groupmap.Worth{Requests: 2, Lifetime: 3 * time.Second, CopyDuration: 30 * time.Millisecond, Gigabytes: 0.15},
