--- a/rankagent/metrics.go
+++ b/rankagent/metrics.go
@@ -17,6 +17,8 @@
 	ordersRepeated *metrics.Counter
 	// digestsSent counts the digests of the group that were sent to gateways.
 	digestsSent *metrics.Counter
+	// copiedBytes counts the bytes of experts that the switches started copy.
+	copiedBytes *metrics.Counter
 	// skew is the skew of the map in use at the last plan, see groupmap.Skew, in
 	// thousandths.
 	skew atomic.Int64
@@ -29,6 +31,7 @@
 	m := &agentMetrics{
 		set: set, switches: set.NewCounter("bluebellwind_map_switches_total"),
 		ordersRepeated: set.NewCounter("bluebellwind_rank_orders_repeated_total"),
+		copiedBytes:    set.NewCounter("bluebellwind_map_copied_bytes_total"),
 	}
 	m.digestsSent = set.NewCounter("bluebellwind_status_digests_sent_total")
 	set.NewGauge("bluebellwind_status_subscribers", func() float64 {
@@ -49,6 +52,11 @@
 	return m
 }
 
+// countPlan counts a plan by what became of it.
+func (m *agentMetrics) countPlan(result planResult) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_map_plans_total{result=%q}", string(result))).Inc()
+}
+
 func (m *agentMetrics) countOrder(kind string, err error) {
 	result := "answered"
 	if err != nil {
