--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -12,6 +12,7 @@
 	"bluebellwind.example/backends"
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/internal/clock"
+	"bluebellwind.example/internal/panics"
 )
 
 const (
@@ -186,6 +187,7 @@
 // response of a peer has changed the position in the meantime. It reports whether
 // the source returned a new position.
 func (f *Follower) pollSource(ctx context.Context) (changed bool, err error) {
+	defer panics.ToError("reading the source", &err)
 	wait := watchWait
 	if age, ok := f.ProofAge(); ok && age > minWatchWaitAge {
 		wait = minWatchWait
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -19,6 +19,7 @@
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/internal/clock"
 	"bluebellwind.example/internal/nettimeout"
+	"bluebellwind.example/internal/panics"
 )
 
 const (
@@ -50,22 +51,19 @@
 // Published implements the Gateways service. It returns the active configuration
 // and the servers, as far as the peer does not have them, and the age of the
 // proof that the configuration is the newest.
-func (f *Follower) Published(_ context.Context, request *discoverypb.Question) (*discoverypb.Reply, error) {
+func (f *Follower) Published(_ context.Context, request *discoverypb.Question) (reply *discoverypb.Reply, err error) {
+	defer panics.ToError("answering a peer", &err)
 	// The age is read before the table, so that the proof of a newer table is
 	// never returned with an older one.
 	age, ok := f.ProofAge()
-	f.applyMu.Lock()
-	table, at, eras, published := f.table.Load(), f.at, f.eras, f.published
-	servers, members := f.directory.Servers(), f.directory.MemberDigest()
-	f.applyMu.Unlock()
+	table, at, eras, published, servers, members := f.currentState()
 	if table == nil || !ok || age > maxServedProofAge {
 		return nil, errNoFreshState
 	}
-	reply := &discoverypb.Reply{
+	reply = &discoverypb.Reply{
 		Version: table.Version(), Era: eras.era, Revision: at.revision, AgeUs: age.Microseconds(),
 		EraAgeUs: (f.uptime() - eras.seenAt).Microseconds(), PublishedVersion: published.version,
 	}
-	var err error
 	if request.KnownVersion < table.Version() {
 		if reply.Config, err = encode(table.Config()); err != nil {
 			return nil, err
@@ -78,6 +76,13 @@
 	return reply, err
 }
 
+// currentState returns a consistent state.
+func (f *Follower) currentState() (*ingress.Table, position, eraClock, publishedConfig, []backends.Server, uint64) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	return f.table.Load(), f.at, f.eras, f.published, f.directory.Servers(), f.directory.MemberDigest()
+}
+
 // pollPeers queries a random peer periodically while the local proof is old or
 // missing, for example because the source does not respond.
 func (f *Follower) pollPeers(ctx context.Context) {
@@ -102,7 +107,8 @@
 // queryPeer queries one peer and applies the reply. The proof is dated by the
 // time at which the query was sent, minus the age that the peer states, so that
 // the duration of the query counts as age.
-func (f *Follower) queryPeer(ctx context.Context, address string) error {
+func (f *Follower) queryPeer(ctx context.Context, address string) (err error) {
+	defer panics.ToError("asking a peer", &err)
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	request := f.newQuestion()
@@ -134,6 +140,9 @@
 // records the peer's proof if both gateways have the same version of the
 // configuration and the peer knows the newest era.
 func (f *Follower) applyReply(reply *discoverypb.Reply, sentAt time.Duration, peer string) error {
+	if err := checkReply(reply); err != nil {
+		return err
+	}
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	if len(reply.Config) > 0 {
@@ -166,6 +175,24 @@
 	return nil
 }
 
+// maxReplyAge is the greatest age in a reply: longer than a process runs, and short enough
+// for a duration.
+const maxReplyAge = 10 * 365 * 24 * time.Hour
+
+// checkReply returns an error if a reply has values that no gateway sends. A negative age
+// would date a proof into the future, so that it never became stale.
+func checkReply(reply *discoverypb.Reply) error {
+	for name, micros := range map[string]int64{"age of the proof": reply.AgeUs, "age of the era": reply.EraAgeUs} {
+		if micros < 0 || micros > maxReplyAge.Microseconds() {
+			return fmt.Errorf("discovery: reply of a peer: %s: %d us", name, micros)
+		}
+	}
+	if reply.Version < 0 || reply.Revision < 0 || reply.Era < 0 || reply.PublishedVersion < 0 {
+		return errors.New("discovery: reply of a peer: negative version, revision or era")
+	}
+	return nil
+}
+
 // applyServers replaces the servers by those of a peer of the same era, unless the
 // peer's revision is older. At the same revision they differ if the grace of a server
 // has ended at the peer. The caller holds applyMu.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bluebellwind.example/backends"
+	"bluebellwind.example/internal/panics"
 	"bluebellwind.example/quarantine"
 	"bluebellwind.example/upstream"
 )
@@ -56,7 +57,12 @@
 	broken := brokenAttempt{server: choice.Server, at: time.Now(), begun: begun, call: x.call, traits: x.traits}
 	ctx, known := context.WithCancel(context.Background())
 	x.crashKnown = ctx.Done()
-	go x.g.confirmCrash(&broken, known)
+	go func() {
+		defer known()
+		if err := panics.Do("confirming a crash", func() { x.g.confirmCrash(&broken, known) }); err != nil {
+			x.g.logBackgroundPanic(err)
+		}
+	}()
 }
 
 // confirmCrash waits until it is known whether the server has crashed, and records what it
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"bluebellwind.example/internal/callerconn"
 )
@@ -213,3 +217,82 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, a.requestCount.Load(), int64(0))
 }
+
+// Under load, requests on connections that the kernel had accepted just before the listener
+// was closed got nothing.
+func TestNoRequestIsLostAtAStopUnderLoad(t *testing.T) {
+	h := newHarness(t)
+	h.addServer("a", answering)
+	h.start()
+	address := freeAddress(t)
+	h.gateway.options.CallerAddress, h.gateway.options.ReadinessAddress, h.gateway.options.ReadinessPath = address, freeAddress(t), "/ready"
+	h.gateway.limits.Store(&Limits{MaxProofAge: longProofAge, DrainDelay: 100 * time.Millisecond, DrainTimeout: 3 * time.Second})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	served := make(chan error, 1)
+	go func() { served <- h.gateway.Serve(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return poll.Continue("not listening yet")
+		}
+		c.Close()
+		return poll.Success()
+	})
+	var answered, lost atomic.Int64
+	var callers sync.WaitGroup
+	for range 12 {
+		callers.Go(func() {
+			for {
+				err := requestOnce(address)
+				switch {
+				case err == nil:
+					answered.Add(1)
+				case errors.Is(err, errNotConnected):
+					return
+				default:
+					lost.Add(1)
+					t.Log(err)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	stop()
+	callers.Wait()
+	assert.NilError(t, <-served)
+	assert.Assert(t, answered.Load() > 0)
+	assert.Equal(t, lost.Load(), int64(0), "of %d requests", answered.Load())
+}
+
+var errNotConnected = errors.New("not connected")
+
+// requestOnce sends one request on a new connection and reads its response.
+func requestOnce(address string) error {
+	c, err := net.DialTimeout("tcp", address, 500*time.Millisecond)
+	if err != nil {
+		return errNotConnected
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// freeAddress returns a local address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -22,13 +22,17 @@
 	// not a number.
 	id    uint64
 	hasID bool
+	// heartbeat says that there are only comments and blank lines, which are no event.
+	heartbeat bool
 }
 
 // eventReader splits a stream into events.
 type eventReader struct {
 	r *bufio.Reader
-	// onEvent is called for each complete event; it may be nil.
+	// onEvent is called for each complete event, but not for heartbeats; it may be nil.
 	onEvent func()
+	// begun is set once an event has been read.
+	begun bool
 	// buf holds the bytes of the current event.
 	buf []byte
 	// awaited is set if awaitedEvent and awaitedErr are the result of the next call of
@@ -62,17 +66,18 @@
 	return e.awaitedErr
 }
 
-// next returns the next complete event. Its bytes are valid until the following
-// call. The error is io.EOF at the end of the stream, and io.ErrUnexpectedEOF if
-// the stream ends within an event.
+// next returns the next complete event, or a heartbeat. Heartbeats before the first event
+// are returned as part of it, or alone at the end of a stream without events. The bytes are
+// valid until the following call. The error is io.EOF at the end of the stream, and
+// io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (event, error) {
 	if e.awaited {
 		e.awaited = false
 		return e.awaitedEvent, e.awaitedErr
 	}
-	var ev event
+	ev := event{heartbeat: true}
 	e.buf = e.buf[:0]
-	lineStart := 0
+	lineStart, recordEnd := 0, 0
 	for {
 		chunk, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, chunk...)
@@ -82,6 +87,10 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if err == io.EOF && recordEnd > 0 && recordEnd == len(e.buf) {
+			ev.raw = e.buf
+			return ev, nil
+		}
 		if err == io.EOF && len(e.buf) > 0 {
 			return ev, io.ErrUnexpectedEOF
 		}
@@ -90,14 +99,27 @@
 		}
 		line := bytes.TrimRight(e.buf[lineStart:], "\r\n")
 		lineStart = len(e.buf)
-		if len(line) == 0 {
-			ev.raw = e.buf
-			if e.onEvent != nil {
-				e.onEvent()
-			}
-			return ev, nil
+		if len(line) > 0 {
+			ev.heartbeat = ev.heartbeat && line[0] == ':'
+			ev.parseID(line)
+			continue
 		}
-		ev.parseID(line)
+		if ev.heartbeat && !e.begun {
+			recordEnd = len(e.buf)
+			continue
+		}
+		ev.raw = e.buf
+		if !ev.heartbeat {
+			e.recordEvent()
+		}
+		return ev, nil
+	}
+}
+
+func (e *eventReader) recordEvent() {
+	e.begun = true
+	if e.onEvent != nil {
+		e.onEvent()
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -138,7 +139,7 @@
 	if x.headerSent {
 		x.g.metrics.countBrokenOff(x.serverGivenUp)
 		x.g.logResponseEnd(x, "broken_off", e.Reason)
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	if x.mayHaveRun {
 		e = verdict.Wrap(e.Code, verdict.MayHaveRun, e.Reason, e.Err)
@@ -146,12 +147,34 @@
 	x.g.refuse(x, e)
 }
 
+// abortResponse ends the request so that a response that has begun looks broken to the
+// caller. It does not return. A caller of HTTP/1.0 gets a reset: it takes the end of the
+// connection for the end of a response without a length.
+func (x *exchange) abortResponse() {
+	if x.headerSent && !x.r.ProtoAtLeast(1, 1) {
+		resetConnection(x.w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the connection of a caller.
+func resetConnection(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // The connection is closed already.
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // On failure, Close still ends the connection.
+	}
+	_ = c.Close()
+}
+
 // finishCanceled ends a request whose deadline has passed, whose caller has
 // disconnected or that is still open when the gateway stops.
 func (x *exchange) finishCanceled() {
 	if x.r.Context().Err() != nil {
 		x.g.logResponseEnd(x, "caller_left", "")
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	if errors.Is(context.Cause(x.ctx), errStopping) {
 		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, x.verdict(), "the gateway stops").WithRetryAfter(x.g.staleDelay()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,9 @@
 	// once, by endRequests.
 	ending      context.Context
 	endRequests context.CancelFunc
+	// maxSilence is how long a server may send nothing of use where the request has no
+	// deadline.
+	maxSilence time.Duration
 	// peakGatewayCount is the highest number of live gateways seen. Limits
 	// shared by all gateways are divided by it, because gateways that are cut
 	// off from this one still use their share.
@@ -136,6 +139,7 @@
 		pool:        upstream.NewPool(),
 		quarantine:  quarantine.NewRegistry(o.Seed),
 		log:         o.Log,
+		maxSilence:  defaultMaxSilence,
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.callerConns = callerconn.NewSet(func() time.Duration {
@@ -182,7 +186,7 @@
 	case <-ctx.Done():
 	}
 	g.drain(callerServer, func() {
-		_ = callerListener.Close() // Serve reports the end of the listener.
+		_ = callerconn.CloseListener(callerListener) // Serve reports the end of the listener.
 		<-callersErr
 	})
 	return probeServer.Close()
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -70,6 +70,12 @@
 	panic(cause)
 }
 
+// logBackgroundPanic logs a panic of a goroutine other than that of a request.
+func (g *Gateway) logBackgroundPanic(err error) {
+	g.metrics.countPanic()
+	g.log.Error().Str("event", "panic").Str("cause", err.Error()).Msg("")
+}
+
 // logRefusal logs a refusal by the gateway itself and the state that led to it.
 func (g *Gateway) logRefusal(x *exchange, e *verdict.Error, status int) {
 	proofAge, hasProof := g.follower.ProofAge()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bluebellwind.example/internal/panics"
 	"bluebellwind.example/internal/telemetry"
 )
 
@@ -42,6 +43,7 @@
 		return float64(failed)
 	})
 	set.NewGauge("bluebellwind_quarantine_held_traits", func() float64 { return float64(g.quarantine.HeldCount(time.Now())) })
+	set.NewGauge("bluebellwind_panics_caught", func() float64 { return float64(panics.Count()) })
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
 	set.NewGauge("bluebellwind_server_connections_opened", func() float64 { return float64(g.pool.DialAttempts()) })
 	return m
--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -16,6 +16,9 @@
 	// another server in any case, unless it may still wait for a slot. Callers
 	// abandon a stream after two seconds.
 	maxStall = 1300 * time.Millisecond
+	// defaultMaxSilence is how long a server may send nothing of use where the request has
+	// no deadline.
+	defaultMaxSilence = 2 * time.Minute
 	// failoverObjectiveShare is the share of the route's objective after which a
 	// repeatable request other than a stream is sent to another server if the
 	// first sends nothing.
@@ -72,6 +75,10 @@
 func (x *exchange) waitPolicy(choice *backends.Choice) func(time.Duration) bool {
 	wait := waitObserver{directory: x.g.directory, server: choice.ID}
 	return func(silence time.Duration) bool {
+		if x.deadline.IsZero() && silence >= x.g.maxSilence {
+			x.endStandby()
+			return false
+		}
 		if x.standby != nil {
 			if x.standbyAnswered() {
 				return false
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -31,6 +31,15 @@
 	return http.StatusServiceUnavailable
 }
 
+// saysNotRun reports whether a status tells the caller that its request has not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // refuse sends a refusal by the gateway itself.
 func (g *Gateway) refuse(x *exchange, e *verdict.Error) {
 	status := refusalStatus(e)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -110,10 +110,12 @@
 		if err != nil {
 			return x.handleBodyError(choice, err)
 		}
-		x.endStandby()
-		x.attemptEvents++
-		x.g.attempts.remove(x.current)
-		choice.RecordProgress(time.Now())
+		if !ev.heartbeat {
+			x.endStandby()
+			x.attemptEvents++
+			x.g.attempts.remove(x.current)
+			choice.RecordProgress(time.Now())
+		}
 		if !x.forwardEvent(response, ev) {
 			return outcomeCanceled
 		}
@@ -133,7 +135,9 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return false
 	}
-	x.recordEvent(ev, time.Now())
+	if !ev.heartbeat {
+		x.recordEvent(ev, time.Now())
+	}
 	return true
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -72,6 +72,10 @@
 			return outcomeFailed
 		}
 	}
+	if saysNotRun(response.Status) && (mayHaveRunBefore || x.standbyMayHaveRun || x.standby != nil) {
+		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + ", and another may have run the request"
+		return outcomeFailed
+	}
 	if x.headerSent && response.Status != http.StatusOK {
 		x.failureCause = "the server did not resume the stream"
 		return outcomeFailed
@@ -106,6 +110,7 @@
 		Header:      h,
 		Body:        x.body,
 		MaxIdle:     maxIdleRepeatable,
+		ID:          x.call.ID,
 		Matches:     func(h http.Header) bool { return x.g.headerCodec.MatchesRequest(h, x.call.ID) },
 		BeforeSend:  func() error { return x.beforeSend(choice) },
 		KeepWaiting: x.waitPolicy(choice),
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -9,6 +9,7 @@
 
 	"bluebellwind.example/backends"
 	"bluebellwind.example/ingress"
+	"bluebellwind.example/internal/panics"
 	"bluebellwind.example/upstream"
 )
 
@@ -74,6 +75,12 @@
 // whole stream without events, has arrived.
 func (s *standby) run(pool *upstream.Pool, request *upstream.Request, stream bool) {
 	defer close(s.done)
+	defer func() {
+		if s.err != nil && s.response != nil {
+			s.response.Close()
+		}
+	}()
+	defer panics.ToError("a standby", &s.err)
 	s.response, s.err = pool.Send(s.ctx, request)
 	if s.err != nil {
 		s.unsent = !maybeSent(s.err)
@@ -83,9 +90,7 @@
 		return
 	}
 	s.events = newResponseEvents(s.response)
-	if s.err = s.events.awaitEvent(); s.err != nil {
-		s.response.Close()
-	}
+	s.err = s.events.awaitEvent()
 }
 
 // standbyAnswered reports whether the standby has an answer that the caller should get in
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -27,12 +28,31 @@
 // the sent bytes have been read.
 func endConnection(c net.Conn, reset bool) {
 	if reset {
+		awaitDelivery(c)
 		time.Sleep(30 * time.Millisecond)
 		_ = c.(*net.TCPConn).SetLinger(0) // On failure, the test sees a FIN and fails.
 	}
 	c.Close()
 }
 
+// awaitDelivery waits until the peer's kernel has all sent bytes. A reset discards what is
+// still to be sent, and on a busy machine that was the part of a large response beyond what
+// is buffered: the gateway then refused the request, as it should, and the test failed.
+func awaitDelivery(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	for range 500 {
+		unsent := 0
+		err = raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		if err != nil || unsent == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // writeUnframed writes a response that ends with its connection.
 func writeUnframed(c net.Conn, r *http.Request, status int, body string, reset bool, extra ...string) {
 	_, _ = io.WriteString(c, unframedHead(r, status, extra...)+body)
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -121,13 +123,41 @@
 	})
 }
 
-// endReads makes the reads of a connection fail until its state changes. The caller holds
-// the lock.
+// endReads makes the reads of a connection fail until its state changes, unless bytes have
+// arrived that have not been read: a busy process may not have come to read a request that
+// its caller has sent long ago. The caller holds the lock.
 func (s *Set) endReads(c net.Conn, tracked *conn) {
-	_ = c.SetReadDeadline(time.Unix(1, 0)) // It fails only for a closed connection.
+	deadline := time.Unix(1, 0)
+	if hasUnread(c) && disabled != "unread-requests" {
+		deadline = time.Time{}
+	}
+	_ = c.SetReadDeadline(deadline) // It fails only for a closed connection.
 	s.endReadsAfter(c, tracked, endReadsInterval)
 }
 
+// hasUnread reports whether bytes have arrived on a connection that have not been read.
+// For a connection that is not TCP it returns false.
+func hasUnread(c net.Conn) bool {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	// Control, unlike Read, does not wait for a read that is in progress.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		unread, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) // An error means that there is nothing.
+	})
+	return err == nil && unread > 0
+}
+
 // AwaitEmpty waits until no connection is open. It returns false after the timeout.
 func (s *Set) AwaitEmpty(timeout time.Duration) bool {
 	deadline := time.Now().Add(timeout)
--- /dev/null
+++ b/internal/callerconn/export_test.go
@@ -0,0 +1,5 @@
+package callerconn
+
+import "os"
+
+func init() { disabled = os.Getenv("BBW_WITHOUT") }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -81,7 +81,7 @@
 	directory := backends.NewDirectory(settings.Zone, seedFromName(settings.Name)^incarnation)
 	directory.SetSelf(settings.Name)
 	suspicions, limits := &suspicionExchange{}, &limitExchange{directory: directory}
-	others := &gossip{topics: []topic{suspicions, limits}}
+	others := &gossip{topics: []topic{suspicions, limits}, onPanic: logPanic(logger)}
 	meshNode, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
 			ID: settings.Name, Address: settings.Mesh, Role: mesh.Gateway, Zone: settings.Zone, Incarnation: incarnation,
@@ -90,6 +90,7 @@
 		Handler:      packetHandler(directory, others, logger),
 		OnPeerChange: peerChangeHandler(directory, others, logger),
 		OnError:      logMeshError(logger),
+		OnPanic:      logPanic(logger),
 	})
 	if err != nil {
 		return err
@@ -245,6 +246,11 @@
 	return func(err error) { logger.Debug().Str("event", "mesh_error").Str("cause", err.Error()).Msg("") }
 }
 
+// logPanic returns a function that logs a panic that became an error.
+func logPanic(logger *logging.Bounded) func(error) {
+	return func(err error) { logger.Error().Str("event", "panic").Str("cause", err.Error()).Msg("") }
+}
+
 // reloadOnSIGHUP reloads the settings on SIGHUP, which the platform sends when
 // they have changed. Only the limits take effect; changed addresses do so at the
 // next start.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bluebellwind.example/internal/clock"
+	"bluebellwind.example/internal/panics"
 	"bluebellwind.example/mesh"
 	"bluebellwind.example/mesh/meshpb"
 )
@@ -30,6 +31,8 @@
 type gossip struct {
 	mesh   *mesh.Node
 	topics []topic
+	// onPanic is called with a *panics.Error.
+	onPanic func(error)
 }
 
 // run tells some other gateways periodically until ctx ends.
@@ -37,7 +40,9 @@
 	clock.Every(ctx, gossipInterval, func(time.Time) {
 		peers := g.mesh.Peers(mesh.Gateway)
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		g.tellActive(peers[:min(len(peers), gossipFanout)]...)
+		if err := panics.Do("telling other gateways", func() { g.tellActive(peers[:min(len(peers), gossipFanout)]...) }); err != nil {
+			g.onPanic(err)
+		}
 	})
 }
 
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -56,6 +56,7 @@
 		Seeds:   settings.MeshSeeds(),
 		Handler: agent.Handle,
 		OnError: logMeshError(logger),
+		OnPanic: logPanic(logger),
 	})
 	if err != nil {
 		return err
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bluebellwind.example/internal/clock"
+	"bluebellwind.example/internal/panics"
 	"bluebellwind.example/mesh/meshpb"
 )
 
@@ -52,6 +53,9 @@
 	// OnError is called for each datagram that cannot be sent, read or decoded,
 	// and for errors of the socket. It must not be nil.
 	OnError func(err error)
+	// OnPanic is called with a *panics.Error if the handling of a datagram panics. If it is
+	// nil, OnError is called.
+	OnPanic func(err error)
 }
 
 // Node connects one process to the mesh. It is safe for concurrent use.
@@ -72,6 +76,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("mesh: own address: %w", err)
 	}
+	if o.OnPanic == nil {
+		o.OnPanic = o.OnError
+	}
 	n := &Node{
 		options: o,
 		peers:   NewPeerSet(o.Self, peerLifetime),
@@ -112,7 +119,9 @@
 			time.Sleep(10 * time.Millisecond) // Avoids a busy loop if the socket keeps failing.
 			continue
 		}
-		n.handleDatagram(buffer[:size], from)
+		if err := panics.Do("handling a datagram from "+from.String(), func() { n.handleDatagram(buffer[:size], from) }); err != nil {
+			n.options.OnPanic(err)
+		}
 	}
 }
 
@@ -173,26 +182,31 @@
 	}
 	now := time.Now()
 	sender := peerFromProto(packet.From, now)
-	var discovered []Peer
+	discovered, reply := n.updatePeers(sender, packet.Peers, now)
+	for _, p := range discovered {
+		n.notifyPeerChange(p, true)
+		n.sendToPeer(n.encode(reply), p)
+	}
+	n.options.Handler(sender, packet)
+}
+
+// updatePeers updates the peers from a packet. It returns those that were not known before
+// and, if there are any, the hello packet for them.
+func (n *Node) updatePeers(sender Peer, others []*meshpb.Peer, now time.Time) (discovered []Peer, reply *meshpb.Packet) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.peers.Update(sender, now) {
 		discovered = append(discovered, sender)
 	}
-	for _, p := range packet.Peers {
+	for _, p := range others {
 		if peer := peerFromProto(p, now); n.peers.Update(peer, now) {
 			discovered = append(discovered, peer)
 		}
 	}
-	var reply *meshpb.Packet
 	if len(discovered) > 0 {
 		reply = n.helloPacket(now)
 	}
-	n.mu.Unlock()
-	for _, p := range discovered {
-		n.notifyPeerChange(p, true)
-		n.sendToPeer(n.encode(reply), p)
-	}
-	n.options.Handler(sender, packet)
+	return discovered, reply
 }
 
 // peerFromProto converts a peer from a packet that arrived at now. The packet
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellwind.example/internal/nettimeout"
 )
 
@@ -42,6 +45,10 @@
 type Pool struct {
 	dialer *net.Dialer
 
+	// anyID makes the pool reuse connections whatever IDs they have carried; set by tests
+	// only.
+	anyID bool
+
 	mu           sync.Mutex
 	servers      map[string]*serverConns
 	dialAttempts int64
@@ -64,8 +71,38 @@
 	idleLimit time.Duration
 	// patience bounds what is read from the server.
 	patience patience
+	// carried holds the IDs of the last requests on the connection. carriedHead is set if
+	// one of its requests was HEAD.
+	carried     idRing
+	carriedHead bool
+}
+
+// maxCarriedIDs is the number of requests for which a connection remembers its IDs.
+const maxCarriedIDs = 64
+
+// idRing holds hashes of the IDs of the last maxCarriedIDs requests.
+type idRing struct {
+	hashes []uint64
+	next   int
 }
 
+func (r *idRing) add(id string) {
+	h := xxhash.Sum64String(id)
+	if len(r.hashes) < maxCarriedIDs {
+		r.hashes = append(r.hashes, h)
+		return
+	}
+	r.hashes[r.next] = h
+	r.next = (r.next + 1) % maxCarriedIDs
+}
+
+func (r *idRing) contains(id string) bool { return slices.Contains(r.hashes, xxhash.Sum64String(id)) }
+
+// fits reports whether the connection may carry a request with this ID. A late second
+// copy of a response to an earlier request with the same ID could not be told from the
+// response to this one.
+func (c *conn) fits(id string) bool { return id == "" || !c.carried.contains(id) }
+
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
@@ -120,18 +157,18 @@
 	}
 }
 
-// acquire returns a connection that has been idle for at most maxIdle, or opens a
-// new one. maxOpen bounds the open connections to the server; 0 means no bound.
-func (p *Pool) acquire(ctx context.Context, address string, maxIdle time.Duration, maxOpen int) (*conn, error) {
+// acquire returns a connection that has been idle for at most r.MaxIdle and may carry r, or
+// opens a new one.
+func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c, err := p.reuseOrReserve(address, maxIdle, maxOpen)
+		c, err := p.reuseOrReserve(r.Address, r.MaxIdle, r.MaxConnections)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, r.Address)
 		}
-		if c.usable() {
+		if (p.anyID || c.fits(r.ID)) && c.usable() {
 			return c, nil
 		}
 		p.discard(c)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -39,6 +39,9 @@
 	MaxIdle time.Duration
 	// MaxConnections bounds the open connections to the server; 0 means no bound.
 	MaxConnections int
+	// ID identifies the request; empty if it has no ID. It is sent on no connection that has
+	// carried a request with the same ID.
+	ID string
 	// Matches reports whether a response belongs to this request; nil accepts every
 	// response.
 	Matches func(http.Header) bool
@@ -82,7 +85,7 @@
 // The error is an *Error, or the error of Request.BeforeSend. The connection is
 // closed as soon as ctx ends.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.Address, r.MaxIdle, r.MaxConnections)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return nil, &Error{Op: "dial", Err: err}
 	}
@@ -113,7 +116,7 @@
 	if err != nil {
 		return nil, &Error{MaybeSent: true, Op: "write", Err: err}
 	}
-	resp, err := c.readHead(r)
+	resp, skipped, err := c.readHead(r)
 	if err != nil {
 		return nil, &Error{MaybeSent: true, Op: "read", Err: err}
 	}
@@ -131,7 +134,7 @@
 		conn:        c,
 		pool:        p,
 		bodyWritten: bodyWritten,
-		reusable:    !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
+		reusable:    skipped == 0 && !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
 	}, nil
 }
 
@@ -140,6 +143,10 @@
 func (c *conn) writeRequest(r *Request) (chan error, error) {
 	w := c.writer
 	w.Reset(c.Conn)
+	if r.ID != "" {
+		c.carried.add(r.ID)
+	}
+	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		fmt.Fprintf(w, "Content-Length: %d\r\n", len(r.Body))
@@ -171,27 +178,29 @@
 }
 
 // readHead reads the header of the response to r. It skips a response to another
-// request, which a faulty server may send late.
-func (c *conn) readHead(r *Request) (*http.Response, error) {
-	for skipped := 0; ; {
+// request, which a faulty server may send late, and returns how many it has skipped. It skips
+// none if a request on the connection was HEAD, as it is not known then whether the other
+// response has a body.
+func (c *conn) readHead(r *Request) (resp *http.Response, skipped int, err error) {
+	for {
 		if c.oldWithCoding() {
-			return nil, errors.New("an answer older than HTTP/1.1 names a transfer coding")
+			return nil, skipped, errors.New("an answer older than HTTP/1.1 names a transfer coding")
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			return nil, skipped, err
 		}
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
-			return resp, nil
+			return resp, skipped, nil
 		}
-		if skipped++; skipped > maxMismatchedResponses || resp.Close {
-			return nil, errors.New("the answer belongs to another request")
+		if skipped++; skipped > maxMismatchedResponses || resp.Close || c.carriedHead {
+			return nil, skipped, errors.New("the answer belongs to another request")
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
+			return nil, skipped, err
 		}
 	}
 }
--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -56,7 +58,7 @@
 func newRequest(address, id string) *upstream.Request {
 	return &upstream.Request{
 		Address: address, Method: http.MethodPost, Target: "/a?b=c", Host: "h.example",
-		Header: http.Header{idHeader: {id}}, Body: []byte("body"), MaxIdle: time.Minute,
+		Header: http.Header{idHeader: {id}}, Body: []byte("body"), MaxIdle: time.Minute, ID: id,
 		Matches: func(h http.Header) bool { return h.Get(idHeader) == id },
 	}
 }
@@ -112,6 +114,32 @@
 	assert.Equal(t, body, "two")
 }
 
+// A second, late copy of a response was taken for the response to a later request with the
+// same ID.
+func TestLateCopyWithTheSameIDIsNeverTaken(t *testing.T) {
+	var requests atomic.Int64
+	address, accepted := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+		last := ""
+		for req := readRequest(r); req != nil; req = readRequest(r) {
+			if last != "" {
+				writeResponse(c, req.Header.Get(idHeader), last)
+			}
+			last = strconv.FormatInt(requests.Add(1), 10)
+			writeResponse(c, req.Header.Get(idHeader), last)
+		}
+	})
+	p := upstream.NewPool()
+	if os.Getenv("BBW_WITHOUT") == "carried-ids" {
+		p.ReuseForAnyID()
+	}
+	for n := 1; n <= 4; n++ {
+		body, err := sendAndRead(t, p, newRequest(address, "same"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, strconv.Itoa(n))
+	}
+	assert.Equal(t, accepted.Load(), int64(4))
+}
+
 func TestBytesAfterAWholeAnswerPoisonTheConnection(t *testing.T) {
 	address, accepted := startBackend(t, func(c net.Conn, r *bufio.Reader) {
 		req := readRequest(r)
