Bound what a gateway holds, and read ahead of callers that read slowly

Cause: a caller that read slowly stalled its server, which cuts off a response that stays unread for some seconds. A caller that read nothing held its request for ever. Request bodies and buffered responses had no bound in total. Model servers crash if the requests that they hold exceed their memory.

Change: writes to callers are looked at by one timer every 200 ms; one that is blocked at two looks starts a goroutine that reads the response on, up to memory.connection_bytes and, with all else that is held, memory.share of memory_mb. Without room for 2 s the response ends and looks broken. Writes end 200 ms after the deadline of a request, reads of its body at the deadline. A body without room is refused with 503, not run, and the time at which enough is released at the latest. A server takes no more tokens than 0.9 of kv_capacity_tokens, counting other gateways' requests by its status.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -49,6 +49,8 @@
 	heldBack map[string]heldServer
 	// memberDigest combines the IDs of servers.
 	memberDigest uint64
+	// noCacheBound switches the bound on key-value caches off; set by tests only.
+	noCacheBound bool
 }
 
 // heldServer is a published server that is not used before until.
@@ -67,6 +69,8 @@
 	// load is what the server stated in the response received at loadAt.
 	load   Load
 	loadAt time.Time
+	// cache is what the requests of this process take of the server's cache.
+	cache cacheUse
 }
 
 // groupState is what this process knows about one group of ranks.
@@ -288,6 +292,7 @@
 	if known && s.Running > 0 && s.LastPass == old.LastPass && s.Group == old.Group {
 		s.progressAt = old.progressAt
 	}
+	s.ownRequests = d.ownRequestsAt(address)
 	d.statuses[address] = s
 	d.markAddressOutdated(address)
 	return !known || old.Open != s.Open || old.Up != s.Up
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -49,6 +49,9 @@
 	ServiceName string
 	// PromptTokens is the length of the prompt in tokens; zero for plain services.
 	PromptTokens int
+	// BodyBytes is the size of the body, by which a prompt without a stated length is
+	// estimated.
+	BodyBytes int
 	// AnswerTokens is the length of the answer that the caller expects, in tokens;
 	// zero if it does not say.
 	AnswerTokens int
@@ -93,6 +96,8 @@
 	routed    *routing.Choice
 	directory *Directory
 	group     *groupState
+	// releaseCache takes back what the request takes of the server's cache.
+	releaseCache func()
 }
 
 // Release records that the request no longer runs on the server.
@@ -101,6 +106,7 @@
 	c.directory.mu.Lock()
 	defer c.directory.mu.Unlock()
 	c.group.inFlight--
+	c.releaseCache()
 }
 
 // RecordProgress records that the server sent data at the given time.
@@ -112,6 +118,9 @@
 func (d *Directory) Pick(r PickRequest, now time.Time) (*Choice, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.checkCacheSize(&r); err != nil {
+		return nil, err
+	}
 	t := d.tables[r.ServiceName]
 	if t == nil {
 		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
@@ -132,11 +141,16 @@
 		}
 		expectedWait, excluded = admitted.expectedWait, append(excluded, otherServers...)
 	}
+	full := d.serversWithFullCache(&r)
+	excluded = append(excluded, full...)
 	choice, err := t.table.Pick(routing.Request{PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...)}, now)
 	if err != nil {
 		if after, limited := d.retryAfterLimits(r.ServiceName, now); limited {
 			return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the backend servers limit their requests").WithRetryAfter(after)
 		}
+		if len(full) > 0 {
+			return nil, cacheRefusal()
+		}
 		cause := fmt.Errorf("%d servers known, closed groups: %v", len(d.servers), slices.Sorted(maps.Keys(d.closedGroups(now))))
 		return nil, verdict.Wrap(verdict.Unavailable, verdict.NotRun, "no backend server can take this request", cause).
 			WithRetryAfter(d.retryAfterUnavailable(r.ServiceName, now))
@@ -154,6 +168,7 @@
 	return &Choice{
 		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.ReceivedAt), ExpectedWait: expectedWait,
 		pickedAt: now, routed: choice, directory: d, group: g,
+		releaseCache: e.takeCache(&r),
 	}, nil
 }
 
--- a/backends/server.go
+++ b/backends/server.go
@@ -48,6 +48,9 @@
 
 	// progressAt is when the rank last started a pass or had no requests.
 	progressAt time.Time
+	// ownRequests is the number of requests of this process at the server when the status
+	// arrived.
+	ownRequests int
 }
 
 // Group identifies a group of ranks during one epoch, and one rank in it.
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -74,6 +74,9 @@
 	outcomeConfigStale
 	// outcomeQuarantined means that the attempt was ended because its request is held.
 	outcomeQuarantined
+	// outcomeSlowCaller means that the response was ended because the caller reads it too
+	// slowly.
+	outcomeSlowCaller
 )
 
 // markTried excludes a server, and its group if possible, from further selections.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -29,6 +29,8 @@
 // eventReader splits a stream into events.
 type eventReader struct {
 	r *bufio.Reader
+	// source is what r reads; nil if that is not a response.
+	source *responseReader
 	// onEvent is called for each complete event, but not for heartbeats; it may be nil.
 	onEvent func()
 	// begun is set once an event has been read.
@@ -48,10 +50,11 @@
 
 // newResponseEvents returns a reader of the events of a response. Only complete events end
 // the silence of the server.
-func newResponseEvents(response *upstream.Response) *eventReader {
+func newResponseEvents(g *Gateway, response *upstream.Response) *eventReader {
 	response.CountRecords()
-	e := newEventReader(response)
-	e.onEvent = response.RecordProgress
+	source := &responseReader{gateway: g, response: response, records: true}
+	e := newEventReader(source)
+	e.source, e.onEvent = source, source.RecordProgress
 	return e
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -21,6 +21,8 @@
 	request
 	attempts
 	answer
+	// aborted is set if the response was ended so that it looks broken.
+	aborted bool
 }
 
 // run sends the request to one server after another until an attempt is final or
@@ -55,6 +57,8 @@
 		x.finishCanceled()
 	case outcomeConfigStale:
 		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(x.g.staleDelay()))
+	case outcomeSlowCaller:
+		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, verdict.MayHaveRun, "the caller reads too slowly"))
 	case outcomeQuarantined:
 		x.refuseOrAbort(x.quarantineRefusal(0))
 	default:
@@ -89,6 +93,7 @@
 func (x *exchange) selectServer() (*backends.Choice, error) {
 	request := backends.PickRequest{
 		Service: x.service, ServiceName: x.serviceName, PromptTokens: x.call.PromptTokens,
+		BodyBytes:    len(x.body),
 		AnswerTokens: x.call.LengthHint,
 		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups,
 		StartObjective: x.route.Objective, UntilDeadline: x.untilDeadline(),
@@ -154,6 +159,9 @@
 	if x.headerSent && !x.r.ProtoAtLeast(1, 1) {
 		resetConnection(x.w)
 	}
+	x.aborted = true
+	// http.Server still writes what it has buffered.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(lastWriteTime)) // Fails only for a closed connection.
 	panic(http.ErrAbortHandler)
 }
 
@@ -172,7 +180,8 @@
 // finishCanceled ends a request whose deadline has passed, whose caller has
 // disconnected or that is still open when the gateway stops.
 func (x *exchange) finishCanceled() {
-	if x.r.Context().Err() != nil {
+	// A write that fails at the deadline ends the context of the caller too.
+	if x.r.Context().Err() != nil && !errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) {
 		x.g.logResponseEnd(x, "caller_left", "")
 		x.abortResponse()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// response; requests still open then are refused, and all connections are closed
 	// lastAnswersTime later.
 	DrainTimeout time.Duration
+	// Memory bounds what is held for callers and servers; zero fields have defaults.
+	Memory MemoryLimits
 }
 
 // Options configures a Gateway.
@@ -119,6 +121,12 @@
 	// once, by endRequests.
 	ending      context.Context
 	endRequests context.CancelFunc
+	memory      *memory
+	responses   openResponses
+	// maxUnread is how long a response may stay unread because of its caller.
+	maxUnread time.Duration
+	// noReadAhead switches reading ahead off; set by tests only.
+	noReadAhead bool
 	// maxSilence is how long a server may send nothing of use where the request has no
 	// deadline.
 	maxSilence time.Duration
@@ -139,6 +147,8 @@
 		pool:        upstream.NewPool(),
 		quarantine:  quarantine.NewRegistry(o.Seed),
 		log:         o.Log,
+		memory:      newMemory(o.Limits.Memory),
+		maxUnread:   defaultMaxUnread,
 		maxSilence:  defaultMaxSilence,
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
@@ -157,6 +167,7 @@
 func (g *Gateway) Reload(limits Limits) {
 	g.limits.Store(&limits)
 	g.retryBudget.Configure(limits.RetryWindow)
+	g.memory.configure(limits.Memory)
 	g.log.Info().Str("event", "bounds_reloaded").Msg("")
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -43,6 +43,15 @@
 		return float64(failed)
 	})
 	set.NewGauge("bluebellwind_quarantine_held_traits", func() float64 { return float64(g.quarantine.HeldCount(time.Now())) })
+	set.NewGauge("bluebellwind_held_server_tokens", func() float64 { return float64(g.directory.HeldTokens()) })
+	set.NewGauge("bluebellwind_held_bytes", func() float64 {
+		held, _ := g.memory.usage()
+		return float64(held)
+	})
+	set.NewGauge("bluebellwind_held_bytes_peak", func() float64 {
+		_, peak := g.memory.usage()
+		return float64(peak)
+	})
 	set.NewGauge("bluebellwind_panics_caught", func() float64 { return float64(panics.Count()) })
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
 	set.NewGauge("bluebellwind_server_connections_opened", func() float64 { return float64(g.pool.DialAttempts()) })
@@ -88,6 +97,17 @@
 	m.set.GetOrCreateCounter("bluebellwind_panics_total").Inc()
 }
 
+// countSlowCaller counts a response whose caller reads slowly, by what was done: it was read
+// ahead, or ended.
+func (m *gatewayMetrics) countSlowCaller(then string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_slow_callers_total{then=%q}", then)).Inc()
+}
+
+// countMemoryRefusal counts a request that was refused because memory was full.
+func (m *gatewayMetrics) countMemoryRefusal() {
+	m.set.GetOrCreateCounter("bluebellwind_memory_refusals_total").Inc()
+}
+
 // countWithdrawal counts a server that wants no requests, for good or for a time.
 func (m *gatewayMetrics) countWithdrawal(kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_server_withdrawals_total{kind=%q}", kind)).Inc()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,20 +18,28 @@
 
 // relayBuffered reads the whole response before it sends it to the caller.
 func (x *exchange) relayBuffered(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes {
-		return x.relayUnbuffered(choice, response, metadata, body)
+	body := buffer{reservation: x.g.memory.reserve(true, x.deadline)}
+	defer body.reservation.release()
+	expected := response.Length
+	if x.r.Method == http.MethodHead {
+		expected = 0 // Its length is that of another response.
 	}
+	whole, err := body.readFrom(response, expected, maxBufferedBytes)
 	if err != nil {
 		return x.handleBodyError(choice, err)
 	}
+	if !whole {
+		return x.relayUnbuffered(choice, response, metadata, &body)
+	}
 	x.recordResponse(choice, response, metadata)
-	length := len(body)
+	length := len(body.bytes)
 	if x.r.Method == http.MethodHead {
 		length = int(response.Length)
 	}
+	response.Close() // The server is not needed any more, however slowly the caller reads.
 	x.writeHeader(response, length)
-	if _, err := x.w.Write(body); err != nil {
+	x.headerSent = true
+	if _, err := x.w.Write(body.bytes); err != nil {
 		return outcomeCanceled
 	}
 	x.g.logResponseEnd(x, "answered", strconv.Itoa(response.Status))
@@ -40,24 +48,73 @@
 
 // relayUnbuffered relays a response that is too large to buffer. prefix is the
 // part of the body already read.
-func (x *exchange) relayUnbuffered(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata, prefix []byte) attemptOutcome {
+func (x *exchange) relayUnbuffered(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata, prefix *buffer) attemptOutcome {
+	source := &responseReader{gateway: x.g, response: response}
+	defer x.relayFrom(source, choice)()
 	length := -1
 	if response.Length >= 0 {
 		length = int(response.Length)
 	}
 	x.writeHeader(response, length)
 	x.headerSent = true
-	if _, err := x.w.Write(prefix); err != nil {
-		return outcomeCanceled
+	if err := source.writeTo(x.w, prefix.bytes, false); err != nil {
+		return x.writeFailed(source)
 	}
-	if _, err := io.Copy(x.w, response); err != nil {
-		return x.handleBodyError(choice, err)
+	prefix.bytes = nil
+	prefix.reservation.release()
+	part := make([]byte, relayPartBytes)
+	for {
+		n, err := source.Read(part)
+		if n > 0 && source.writeTo(x.w, part[:n], false) != nil {
+			return x.writeFailed(source)
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return x.bodyFailed(choice, source, err)
+		}
 	}
 	x.recordResponse(choice, response, metadata)
 	x.g.logResponseEnd(x, "answered", strconv.Itoa(response.Status))
 	return outcomeAnswered
 }
 
+// relayPartBytes is how much of a response that is too large to buffer is relayed at once.
+const relayPartBytes = 32 << 10
+
+// relayFrom begins to relay a response from source, and returns the function that ends it.
+func (x *exchange) relayFrom(source *responseReader, choice *backends.Choice) (end func()) {
+	source.until = x.deadline
+	source.newPolicy = func() func(time.Duration) bool { return x.waitPolicy(choice) }
+	control := http.NewResponseController(x.w)
+	source.interruptWrite = func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) } // Fails only for a closed connection.
+	x.g.responses.add(source)
+	return func() {
+		x.g.responses.remove(source)
+		source.stop()
+	}
+}
+
+// writeFailed classifies the failure of a write to the caller.
+func (x *exchange) writeFailed(source *responseReader) attemptOutcome {
+	if !source.gaveUp() {
+		return outcomeCanceled
+	}
+	x.failureCause = errSlowCaller.Error()
+	x.g.metrics.countSlowCaller("ended")
+	return outcomeSlowCaller
+}
+
+// bodyFailed classifies an error of the response. If the response was ended because of its
+// caller, the server is not to blame.
+func (x *exchange) bodyFailed(choice *backends.Choice, source *responseReader, err error) attemptOutcome {
+	if errors.Is(err, errSlowCaller) {
+		return x.writeFailed(source)
+	}
+	return x.handleBodyError(choice, err)
+}
+
 // recordResponse records a complete response of a server. Server errors are left
 // out, since sendTo has already recorded them.
 func (x *exchange) recordResponse(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata) {
@@ -102,13 +159,14 @@
 // complete event, so that a stream that breaks off earlier can start again at
 // another server.
 func (x *exchange) relayStream(choice *backends.Choice, response *upstream.Response, events *eventReader, metadata ResponseMetadata) attemptOutcome {
+	defer x.relayFrom(events.source, choice)()
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(choice, response, metadata)
 		}
 		if err != nil {
-			return x.handleBodyError(choice, err)
+			return x.bodyFailed(choice, events.source, err)
 		}
 		if !ev.heartbeat {
 			x.endStandby()
@@ -116,23 +174,20 @@
 			x.g.attempts.remove(x.current)
 			choice.RecordProgress(time.Now())
 		}
-		if !x.forwardEvent(response, ev) {
-			return outcomeCanceled
+		if !x.forwardEvent(events.source, ev) {
+			return x.writeFailed(events.source)
 		}
 	}
 }
 
 // forwardEvent sends one event to the caller, unless the caller already has it.
 // It returns false if writing to the caller fails.
-func (x *exchange) forwardEvent(response *upstream.Response, ev event) bool {
+func (x *exchange) forwardEvent(source *responseReader, ev event) bool {
 	if x.has(ev) {
 		return true
 	}
-	x.startStream(response)
-	if _, err := x.w.Write(ev.raw); err != nil {
-		return false
-	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
+	x.startStream(source.response)
+	if err := source.writeTo(x.w, ev.raw, true); err != nil {
 		return false
 	}
 	if !ev.heartbeat {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -82,7 +82,7 @@
 	}
 	if x.route.Repeat == ingress.Stream && response.Status == http.StatusOK {
 		if events == nil {
-			events = newResponseEvents(response)
+			events = newResponseEvents(x.g, response)
 		}
 		return x.relayStream(choice, response, events, metadata)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -24,18 +24,42 @@
 	ctx, cancel := g.requestContext(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	body, refusal := g.readBody(r)
+	body, refusal := x.readBody()
+	defer body.reservation.release()
 	if refusal != nil {
 		g.refuse(x, refusal)
 		return
 	}
-	x.body = body
+	x.body = body.bytes
 	x.traits = x.allTraits(r)
 	g.metrics.requestStarted()
 	defer g.metrics.requestEnded()
+	defer x.endWritesWithContext()()
 	x.run()
 }
 
+// endWritesWithContext makes writes to a caller that reads nothing fail lastWriteTime after
+// the end of the request's context. It returns a function that takes this back, unless the
+// response is aborted.
+func (x *exchange) endWritesWithContext() (end func()) {
+	control := http.NewResponseController(x.w)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(x.ctx, func() {
+		defer close(ended)
+		_ = control.SetWriteDeadline(time.Now().Add(lastWriteTime)) // Fails only for a closed connection.
+	})
+	return func() {
+		if stop() {
+			return
+		}
+		<-ended
+		if x.aborted {
+			return
+		}
+		_ = control.SetWriteDeadline(time.Time{}) // As above.
+	}
+}
+
 // errStopping is the cause of the end of requests that are still open at the end of a
 // drain.
 var errStopping = errors.New("gateway: the gateway stops")
@@ -101,29 +125,70 @@
 }
 
 // readBody reads the body of a request up to the size limit. It returns a refusal
-// if it cannot.
-func (g *Gateway) readBody(r *http.Request) ([]byte, *verdict.Error) {
+// if it cannot. The caller must release the memory of the body.
+func (x *exchange) readBody() (buffer, *verdict.Error) {
+	r := x.r
+	body := buffer{reservation: x.g.memory.reserve(false, x.deadline)}
 	limit := int64(defaultMaxBodyBytes)
-	if t := g.follower.Table(); t != nil && t.Limits().MaxBodyBytes > 0 {
+	if t := x.g.follower.Table(); t != nil && t.Limits().MaxBodyBytes > 0 {
 		limit = t.Limits().MaxBodyBytes
 	}
 	if r.ContentLength > limit {
-		return nil, verdict.Refuse(verdict.TooLarge, verdict.NotRun, "the body is too large")
+		return body, verdict.Refuse(verdict.TooLarge, verdict.NotRun, "the body is too large")
 	}
 	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
+		return body, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	defer x.endReadsWithContext()()
+	whole, err := body.readFrom(http.MaxBytesReader(nil, r.Body, limit), r.ContentLength, math.MaxInt)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.Refuse(verdict.TooLarge, verdict.NotRun, "the body is too large")
-	}
-	if err != nil {
-		return nil, verdict.Wrap(verdict.InvalidRequest, verdict.NotRun, "the body cannot be read", err)
+	switch {
+	case errors.As(err, &tooLarge):
+		return body, verdict.Refuse(verdict.TooLarge, verdict.NotRun, "the body is too large")
+	case err != nil && errors.Is(context.Cause(x.ctx), context.DeadlineExceeded):
+		return body, verdict.Refuse(verdict.DeadlineExceeded, verdict.NotRun, "the body did not arrive in time")
+	case err != nil && errors.Is(context.Cause(x.ctx), errStopping):
+		return body, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the gateway stops").WithRetryAfter(x.g.staleDelay())
+	case err != nil:
+		return body, verdict.Wrap(verdict.InvalidRequest, verdict.NotRun, "the body cannot be read", err)
+	case !whole:
+		return body, x.g.refuseForMemory(max(r.ContentLength, int64(2*cap(body.bytes))))
 	}
 	return body, nil
 }
 
+// refuseForMemory returns the refusal of a request whose body of size bytes has no room. It
+// names the time at which enough of what is held is released at the latest, if that is known.
+func (g *Gateway) refuseForMemory(size int64) *verdict.Error {
+	g.metrics.countMemoryRefusal()
+	refusal := verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the memory for requests is full")
+	if at, ok := g.memory.availableAt(size); ok {
+		return refusal.WithRetryAfter(max(time.Until(at), minMemoryDelay))
+	}
+	return refusal
+}
+
+// minMemoryDelay is the least time that is told to a caller that is refused because of full
+// memory.
+const minMemoryDelay = 100 * time.Millisecond
+
+// endReadsWithContext makes reads of the body fail at the end of the request's context. It
+// returns a function that takes this back.
+func (x *exchange) endReadsWithContext() (end func()) {
+	control := http.NewResponseController(x.w)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(x.ctx, func() {
+		defer close(ended)
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // Fails only for a closed connection.
+	})
+	return func() {
+		if !stop() {
+			<-ended
+			x.w.Header().Set("Connection", "close") // The rest of the body is still to come.
+		}
+	}
+}
+
 // hopByHopHeaders are the headers that apply to a single connection only.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -68,12 +68,12 @@
 	request.BeforeSend = func() error { return x.checkSend(choice) }
 	request.KeepWaiting = nil
 	x.standby = s
-	go s.run(x.g.pool, request, x.route.Repeat == ingress.Stream)
+	go s.run(x.g, request, x.route.Repeat == ingress.Stream)
 }
 
 // run sends the request. For a stream it waits until the first event, or the end of a
 // whole stream without events, has arrived.
-func (s *standby) run(pool *upstream.Pool, request *upstream.Request, stream bool) {
+func (s *standby) run(g *Gateway, request *upstream.Request, stream bool) {
 	defer close(s.done)
 	defer func() {
 		if s.err != nil && s.response != nil {
@@ -81,7 +81,7 @@
 		}
 	}()
 	defer panics.ToError("a standby", &s.err)
-	s.response, s.err = pool.Send(s.ctx, request)
+	s.response, s.err = g.pool.Send(s.ctx, request)
 	if s.err != nil {
 		s.unsent = !maybeSent(s.err)
 		return
@@ -89,7 +89,7 @@
 	if !stream || s.response.Status != http.StatusOK {
 		return
 	}
-	s.events = newResponseEvents(s.response)
+	s.events = newResponseEvents(g, s.response)
 	s.err = s.events.awaitEvent()
 }
 
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -42,10 +42,30 @@
 	// LinkMbps is the rate of the instance's link, in megabits per second; zero if not
 	// known.
 	LinkMbps float64 `yaml:"link_mbps"`
-	Log      Log     `yaml:"log"`
-	Bounds   Bounds  `yaml:"bounds"`
+	// Memory bounds what a gateway holds for callers and servers.
+	Memory Memory `yaml:"memory"`
+	Log    Log    `yaml:"log"`
+	Bounds Bounds `yaml:"bounds"`
 }
 
+// Memory bounds what a gateway holds for callers and servers. Zero fields are set to their
+// defaults.
+type Memory struct {
+	// ConnectionBytes bounds what is read ahead of one caller that reads slowly.
+	ConnectionBytes int64 `yaml:"connection_bytes"`
+	// Share is the share of memory_mb that bodies of requests, buffered responses and what
+	// is read ahead may take together, in (0, 1].
+	Share float64 `yaml:"share"`
+}
+
+// Defaults of Memory. A process whose memory_mb is not stated holds at most
+// defaultHeldBytes.
+const (
+	defaultConnectionBytes = 256 << 10
+	defaultMemoryShare     = 0.25
+	defaultHeldBytes       = 64 << 20
+)
+
 // Bounds are guarantees that the processes of the system provide jointly. Zero
 // fields are set to their defaults, except RetryFree, which may be 0.
 type Bounds struct {
@@ -87,6 +107,7 @@
 		return nil, decodeError(file, err)
 	}
 	n.Bounds.setDefaults()
+	n.Memory.setDefaults()
 	if invalid := n.check(); invalid != nil {
 		return nil, &Error{File: file, Line: lineOf(text, invalid.field), Field: invalid.field, Msg: invalid.msg}
 	}
@@ -108,6 +129,34 @@
 	}
 }
 
+func (m *Memory) setDefaults() {
+	if m.ConnectionBytes == 0 {
+		m.ConnectionBytes = defaultConnectionBytes
+	}
+	if m.Share == 0 {
+		m.Share = defaultMemoryShare
+	}
+}
+
+func (m *Memory) check() *invalidField {
+	switch {
+	case m.ConnectionBytes < 0:
+		return &invalidField{"memory.connection_bytes", "must not be negative"}
+	case !(m.Share > 0 && m.Share <= 1):
+		return &invalidField{"memory.share", "must be above 0 and at most 1"}
+	}
+	return nil
+}
+
+// HeldBytes returns how many bytes bodies of requests, buffered responses and what is read
+// ahead may take together.
+func (n *Node) HeldBytes() int64 {
+	if n.MemoryMB <= 0 {
+		return defaultHeldBytes
+	}
+	return int64(n.Memory.Share * float64(int64(n.MemoryMB)<<20))
+}
+
 func (n *Node) check() *invalidField {
 	missing := firstMissing(fieldValue{"name", n.Name}, fieldValue{"zone", n.Zone}, fieldValue{"mesh", n.Mesh})
 	if missing != nil {
@@ -132,6 +181,9 @@
 	if n.LinkMbps < 0 {
 		return &invalidField{"link_mbps", "must not be negative"}
 	}
+	if invalid := n.Memory.check(); invalid != nil {
+		return invalid
+	}
 	return n.Bounds.check()
 }
 
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -32,22 +32,39 @@
 
 func TestNodeSettingsNameTheBadField(t *testing.T) {
 	cases := map[string]string{
-		nodeSettings + "colour: red\n":              "s.yaml:10: colour",
-		nodeSettings + "  retry_ratio: 3\n":         "s.yaml:10: bounds.retry_ratio",
-		nodeSettings + "metrics: \"here\"\n":        "s.yaml:10: metrics",
-		"name: \"gw\"\nmesh: \"10.0.0.1:7180\"\n":   "zone",
-		nodeSettings + "memory_mb: \"plenty\"\n":    "s.yaml:10",
-		nodeSettings + "link_mbps: -1\n":            "s.yaml:10: link_mbps",
-		nodeSettings + "  grace_s: -1\n":            "s.yaml:10: bounds.grace_s",
-		nodeSettings + "server: \"10.0.0.1:\"\n":    "s.yaml:10: server",
-		nodeSettings + "  retry_window_s: -10\n":    "s.yaml:10: bounds.retry_window_s",
-		nodeSettings + "  retry_free: -1\n":         "s.yaml:10: bounds.retry_free",
-		nodeSettings + "  revoke_ms: 3\n":           "s.yaml:10: revoke_ms",
-		"name: [\n":                                 "s.yaml:",
-		"name: \"gw\"\nzone: \"z\"\nmesh: \"nope\"": "s.yaml:3: mesh",
+		nodeSettings + "colour: red\n":                     "s.yaml:10: colour",
+		nodeSettings + "  retry_ratio: 3\n":                "s.yaml:10: bounds.retry_ratio",
+		nodeSettings + "metrics: \"here\"\n":               "s.yaml:10: metrics",
+		"name: \"gw\"\nmesh: \"10.0.0.1:7180\"\n":          "zone",
+		nodeSettings + "memory_mb: \"plenty\"\n":           "s.yaml:10",
+		nodeSettings + "link_mbps: -1\n":                   "s.yaml:10: link_mbps",
+		nodeSettings + "memory:\n  share: 1.5\n":           "memory.share",
+		nodeSettings + "memory:\n  share: .nan\n":          "memory.share",
+		nodeSettings + "memory:\n  connection_bytes: -1\n": "memory.connection_bytes",
+		nodeSettings + "  grace_s: -1\n":                   "s.yaml:10: bounds.grace_s",
+		nodeSettings + "server: \"10.0.0.1:\"\n":           "s.yaml:10: server",
+		nodeSettings + "  retry_window_s: -10\n":           "s.yaml:10: bounds.retry_window_s",
+		nodeSettings + "  retry_free: -1\n":                "s.yaml:10: bounds.retry_free",
+		nodeSettings + "  revoke_ms: 3\n":                  "s.yaml:10: revoke_ms",
+		"name: [\n":                                        "s.yaml:",
+		"name: \"gw\"\nzone: \"z\"\nmesh: \"nope\"":        "s.yaml:3: mesh",
 	}
 	for text, want := range cases {
 		_, err := config.ParseNode("s.yaml", []byte(text))
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// Without a stated memory, or without settings for it, what a gateway holds is bounded too.
+func TestHeldMemoryHasDefaults(t *testing.T) {
+	for text, want := range map[string]int64{
+		nodeSettings:                      64 << 20,
+		nodeSettings + "memory_mb: 184\n": 46 << 20,
+		nodeSettings + "memory_mb: 184\nmemory:\n  share: 1\n": 184 << 20,
+	} {
+		n, err := config.ParseNode("s.yaml", []byte(text))
+		assert.NilError(t, err)
+		assert.Equal(t, n.HeldBytes(), want)
+		assert.Equal(t, n.Memory.ConnectionBytes, int64(256<<10))
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,7 +178,7 @@
 	case <-ctx.Done():
 	}
 	e.drain(server, conns, func() {
-		_ = callerListener.Close() // ServeTLS reports the end of the listener.
+		_ = callerconn.CloseListener(callerListener) // ServeTLS reports the end of the listener.
 		<-callersErr
 	})
 	_ = peerListener.Close()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -173,6 +173,7 @@
 		},
 		DrainDelay:   min(unreadyDetectionTime, settings.Bounds.Grace()/2),
 		DrainTimeout: settings.Bounds.Grace() - shutdownReserve(settings.Bounds.Grace()),
+		Memory:       gateway.MemoryLimits{ReadAhead: settings.Memory.ConnectionBytes, Total: settings.HeldBytes()},
 	}
 }
 
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -242,6 +242,10 @@
 	return err
 }
 
+// Abort resets the connection at once: a Read in progress fails. It may be called by any
+// goroutine.
+func (r *Response) Abort() { r.conn.abort() }
+
 // Close closes the response. The connection is reused only if the body was read to
 // its end.
 func (r *Response) Close() {
