Do not carry out orders of an unknown kind

Cause: an agent sent an order of an unknown kind to its model server as "none" or, above the known kinds, as "go", which releases a group that is held before a pass. A malformed datagram, or one of a later build, was enough.

Change: such an order is logged and ignored.

Result: the test failed before (kind 0 was carried out) and passes, also with -race.

--- a/rankagent/fuzz_test.go
+++ b/rankagent/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -52,3 +53,20 @@
 	}
 	a.Handle(mesh.Peer{ID: agentID(2), Incarnation: 5}, packet)
 }
+
+// An order of an unknown kind was sent to the model server as "go", which releases a group
+// that is held before a pass.
+func TestOrderOfAnUnknownKindIsNotCarriedOut(t *testing.T) {
+	for _, kind := range []uint32{0, uint32(groupmap.Release) + 1, 200, 256 + uint32(groupmap.Release), math.MaxUint32} {
+		engine := newFakeEngine(0, 4, preparedState)
+		a := newFakeAgent("s", map[string]*fakeEngine{"s": engine})
+		node, err := mesh.Listen(mesh.Options{Self: mesh.Peer{ID: "a", Address: "127.0.0.1:0", Role: mesh.RankAgent}, OnError: func(error) {}})
+		assert.NilError(t, err)
+		a.mesh = node
+		a.handleOrder(&meshpb.RankOrder{Kind: kind, Group: "g", Epoch: 1, Step: 10})
+		time.Sleep(50 * time.Millisecond) // Orders are carried out in the background.
+		engine.mu.Lock()
+		assert.Equal(t, len(engine.orders), 0, "kind %d was carried out", kind)
+		engine.mu.Unlock()
+	}
+}
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -11,6 +11,10 @@
 
 // handleOrder carries out an order of the group's leader.
 func (a *Agent) handleOrder(o *meshpb.RankOrder) {
+	if o.Kind < uint32(groupmap.Prepare) || o.Kind > uint32(groupmap.Release) {
+		a.log.Warn().Str("event", "order_unreadable").Uint64("version", o.Version).Str("cause", "unknown kind").Msg("")
+		return
+	}
 	if len(o.Forward) > 0 {
 		go a.forwardOrder(context.Background(), o)
 	}
