--- a/backends/directory.go
+++ b/backends/directory.go
@@ -62,6 +62,8 @@
 	awaitsEvacuations bool
 	// regions holds the region of each zone that the settings name.
 	regions map[string]string
+	// noCacheBound switches the bound on key-value caches off; set by tests only.
+	noCacheBound bool
 }
 
 // heldServer is a published server that is not used before until.
@@ -83,6 +85,8 @@
 	// closedByBudget says that the budget of the server was the only reason to exclude it
 	// from the latest view.
 	closedByBudget bool
+	// cache is what the requests of this process take of the server's cache.
+	cache cacheUse
 }
 
 // groupState is what this process knows about one group of ranks.
@@ -337,6 +341,7 @@
 	if known && s.Running > 0 && s.LastPass == old.LastPass && s.Group == old.Group {
 		s.progressAt = old.progressAt
 	}
+	s.ownRequests = d.ownRequestsAt(address)
 	d.statuses[address] = s
 	d.changedAddresses[address] = struct{}{}
 	return !known || old.Open != s.Open || old.Up != s.Up
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -55,6 +55,9 @@
 	ServiceName string
 	// PromptTokens is the length of the prompt in tokens; zero for plain services.
 	PromptTokens int
+	// BodyBytes is the size of the body, by which a prompt without a stated length is
+	// estimated.
+	BodyBytes int
 	// AnswerTokens is the length of the answer that the caller expects, in tokens;
 	// zero if it does not say.
 	AnswerTokens int
@@ -119,6 +122,8 @@
 	// the priority of the request.
 	unanswered atomic.Bool
 	priority   int
+	// releaseCache takes back what the request takes of the server's cache.
+	releaseCache func()
 }
 
 // Release records that the request no longer runs on the server.
@@ -132,6 +137,7 @@
 		c.directory.cold.budgets.Return(c.ID, c.permit)
 		c.directory.markReopened(c.ID)
 	}
+	c.releaseCache()
 }
 
 // RecordProgress records that the server sent data at the given time.
@@ -155,29 +161,10 @@
 func (d *Directory) Pick(r PickRequest, now time.Time) (*Choice, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := d.tables[r.ServiceName]
-	if t == nil {
-		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
-		d.tables[r.ServiceName] = t
-	}
-	d.markAddressesOutdated()
-	if t.outdated || now.Sub(t.updatedAt) > maxViewAge || t.hasReopened(now) {
-		d.updateSubset(t, r.ServiceName, now)
-		view := d.routingView(&r, now)
-		for i := range view.Candidates {
-			view.Candidates[i].Preferred = t.subset.servers[view.Candidates[i].Server]
-		}
-		t.table.Update(view)
-		t.groupLoads = d.groupLoads(&r, view.Candidates, now)
-		t.candidates, t.regionLoads = view.Candidates, make(map[string]map[string]groupLoad)
-		t.reopensAt = time.Time{}
-		for _, e := range d.servers {
-			if e.Service == r.ServiceName && e.closedByBudget {
-				d.noteReopening(t, e, now)
-			}
-		}
-		t.outdated, t.updatedAt = false, now
+	if err := d.checkCacheSize(&r); err != nil {
+		return nil, err
 	}
+	t := d.currentTable(&r, now)
 	if refusal := d.checkServers(&r); refusal != nil {
 		return nil, refusal
 	}
@@ -193,23 +180,69 @@
 		}
 		excluded = append(excluded, otherServers...)
 	}
+	full := d.serversWithFullCache(&r)
+	excluded = append(excluded, full...)
 	choice, err := t.table.Pick(routing.Request{
 		PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...),
 		ConnectedServers: d.connectedServers(r.ServiceName, r.ConnectedAddresses),
 	}, now)
 	if err != nil {
-		if after, limited := d.retryAfterLimits(&r, now); limited {
-			return nil, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the backend servers limit their requests").WithRetryAfter(after)
-		}
-		cause := fmt.Errorf("%d servers known, closed groups: %v", len(d.servers), slices.Sorted(maps.Keys(d.closedGroups(now))))
-		return nil, verdict.Wrap(verdict.Unavailable, verdict.NotRun, "no backend server can take this request", cause).
-			WithRetryAfter(d.retryAfterUnavailable(&r, now))
+		return nil, d.noServer(&r, len(full) > 0, now)
 	}
 	e := d.servers[choice.Server]
 	if e == nil {
 		choice.Release()
 		return nil, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the backend server has left").WithRetryAfter(plainRetryAfter)
 	}
+	return d.place(&r, t, e, choice, &admitted, now), nil
+}
+
+// currentTable returns the table of the service of a request, which it updates if it is
+// outdated. The caller holds the lock.
+func (d *Directory) currentTable(r *PickRequest, now time.Time) *serviceTable {
+	t := d.tables[r.ServiceName]
+	if t == nil {
+		t = &serviceTable{table: routing.NewTable(d.seed), outdated: true}
+		d.tables[r.ServiceName] = t
+	}
+	d.markAddressesOutdated()
+	if !t.outdated && now.Sub(t.updatedAt) <= maxViewAge && !t.hasReopened(now) {
+		return t
+	}
+	d.updateSubset(t, r.ServiceName, now)
+	view := d.routingView(r, now)
+	for i := range view.Candidates {
+		view.Candidates[i].Preferred = t.subset.servers[view.Candidates[i].Server]
+	}
+	t.table.Update(view)
+	t.groupLoads = d.groupLoads(r, view.Candidates, now)
+	t.candidates, t.regionLoads = view.Candidates, make(map[string]map[string]groupLoad)
+	t.reopensAt = time.Time{}
+	for _, e := range d.servers {
+		if e.Service == r.ServiceName && e.closedByBudget {
+			d.noteReopening(t, e, now)
+		}
+	}
+	t.outdated, t.updatedAt = false, now
+	return t
+}
+
+// noServer returns the refusal of a request that no server can take. cacheFull says that
+// caches of servers that could take it are full. The caller holds the lock.
+func (d *Directory) noServer(r *PickRequest, cacheFull bool, now time.Time) error {
+	if after, limited := d.retryAfterLimits(r, now); limited {
+		return verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the backend servers limit their requests").WithRetryAfter(after)
+	}
+	if cacheFull {
+		return cacheRefusal()
+	}
+	cause := fmt.Errorf("%d servers known, closed groups: %v", len(d.servers), slices.Sorted(maps.Keys(d.closedGroups(now))))
+	return verdict.Wrap(verdict.Unavailable, verdict.NotRun, "no backend server can take this request", cause).
+		WithRetryAfter(d.retryAfterUnavailable(r, now))
+}
+
+// place counts a request as sent to the chosen server. The caller holds the lock.
+func (d *Directory) place(r *PickRequest, t *serviceTable, e *serverState, choice *routing.Choice, admitted *decision, now time.Time) *Choice {
 	d.takeLimit(&e.Server, now)
 	permit := d.cold.budgets.Take(e.ID, now)
 	if permit != nil && !d.cold.budgets.Open(e.ID, now) {
@@ -222,14 +255,16 @@
 	g.meter.record(now)
 	status := d.statuses[e.Address]
 	picked := &Choice{
-		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.ReceivedAt), ExpectedWait: admitted.expectedWait, Reserve: admitted.reserve,
+		Server: e.Server, Running: status.Running, Waiting: status.Waiting, StatusAge: now.Sub(status.ReceivedAt),
+		ExpectedWait: admitted.expectedWait, Reserve: admitted.reserve,
 		pickedAt: now, permit: permit, routed: choice, directory: d, group: g, priority: r.Priority,
+		releaseCache: e.takeCache(r),
 	}
 	if r.usesEngine() {
 		picked.unanswered.Store(true)
 		d.demand.RecordSent(r.ServiceName, r.Priority)
 	}
-	return picked, nil
+	return picked
 }
 
 // admit applies admission control. It returns the IDs of the servers that an
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -19,6 +19,7 @@
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/internal/clock"
 	"bluebellwind.example/internal/nettimeout"
+	"bluebellwind.example/internal/panics"
 )
 
 const (
@@ -58,36 +59,54 @@
 // Published implements the Gateways service. It returns the active configuration
 // and the servers, as far as the peer does not have them, and the age of the
 // proof that the configuration is the newest.
-func (f *Follower) Published(_ context.Context, request *discoverypb.Question) (*discoverypb.Reply, error) {
+func (f *Follower) Published(_ context.Context, request *discoverypb.Question) (reply *discoverypb.Reply, err error) {
+	defer panics.ToError("answering a peer", &err)
 	// The age is read before the table, so that the proof of a newer table is
 	// never returned with an older one.
 	age, ok := f.ProofAge()
-	f.applyMu.Lock()
-	table, at, eras, published := f.table.Load(), f.at, f.eras, f.published
-	servers, members := f.directory.Servers(), f.directory.MemberDigest()
-	evacuated := f.evacuations.encode()
-	f.applyMu.Unlock()
+	state := f.currentState()
+	table := state.table
 	if table == nil || !ok || age > maxServedProofAge {
 		return nil, errNoFreshState
 	}
-	reply := &discoverypb.Reply{
-		Version: table.Version(), Era: eras.era, Revision: at.revision, AgeUs: age.Microseconds(),
-		EraAgeUs: (f.uptime() - eras.seenAt).Microseconds(), PublishedVersion: published.version,
-		Format: replyFormat, Evacuated: evacuated,
+	reply = &discoverypb.Reply{
+		Version: table.Version(), Era: state.eras.era, Revision: state.at.revision, AgeUs: age.Microseconds(),
+		EraAgeUs: (f.uptime() - state.eras.seenAt).Microseconds(), PublishedVersion: state.published.version,
+		Format: replyFormat, Evacuated: state.evacuated,
 	}
-	var err error
 	if request.KnownVersion < table.Version() {
 		if reply.Config, err = encode(table.Config()); err != nil {
 			return nil, err
 		}
 	}
 	known := position{era: request.KnownEra, revision: request.KnownRevision}
-	if at.revision != 0 && (known != at || request.KnownMembers != members) {
-		reply.Servers, err = encode(servers)
+	if state.at.revision != 0 && (known != state.at || request.KnownMembers != state.members) {
+		reply.Servers, err = encode(state.servers)
 	}
 	return reply, err
 }
 
+// state is what a follower knows, all of it of one moment.
+type state struct {
+	table     *ingress.Table
+	at        position
+	eras      eraClock
+	published publishedConfig
+	servers   []backends.Server
+	// members is the digest of the IDs of servers.
+	members   uint64
+	evacuated []*discoverypb.EvacuatedZone
+}
+
+func (f *Follower) currentState() state {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	return state{
+		table: f.table.Load(), at: f.at, eras: f.eras, published: f.published,
+		servers: f.directory.Servers(), members: f.directory.MemberDigest(), evacuated: f.evacuations.encode(),
+	}
+}
+
 // pollPeers queries a random peer periodically while the local proof is old or
 // missing, for example because the source does not respond.
 func (f *Follower) pollPeers(ctx context.Context) {
@@ -112,7 +131,8 @@
 // queryPeer queries one peer and applies the reply. The proof is dated by the
 // time at which the query was sent, minus the age that the peer states, so that
 // the duration of the query counts as age.
-func (f *Follower) queryPeer(ctx context.Context, address string) error {
+func (f *Follower) queryPeer(ctx context.Context, address string) (err error) {
+	defer panics.ToError("asking a peer", &err)
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	request := f.newQuestion()
@@ -145,6 +165,9 @@
 // configuration, the peer knows the newest era, and its servers and evacuated zones are
 // of a known revision.
 func (f *Follower) applyReply(reply *discoverypb.Reply, sentAt time.Duration, peer string) error {
+	if err := checkReply(reply); err != nil {
+		return err
+	}
 	if reply.Format < replyFormat {
 		return errOldFormat
 	}
@@ -184,6 +207,24 @@
 	return nil
 }
 
+// maxReplyAge is the greatest age in a reply: longer than a process runs, and short enough
+// for a duration.
+const maxReplyAge = 10 * 365 * 24 * time.Hour
+
+// checkReply returns an error if a reply has values that no gateway sends. A negative age
+// would date a proof into the future, so that it never became stale.
+func checkReply(reply *discoverypb.Reply) error {
+	for name, micros := range map[string]int64{"age of the proof": reply.AgeUs, "age of the era": reply.EraAgeUs} {
+		if micros < 0 || micros > maxReplyAge.Microseconds() {
+			return fmt.Errorf("discovery: reply of a peer: %s: %d us", name, micros)
+		}
+	}
+	if reply.Version < 0 || reply.Revision < 0 || reply.Era < 0 || reply.PublishedVersion < 0 {
+		return errors.New("discovery: reply of a peer: negative version, revision or era")
+	}
+	return nil
+}
+
 // applyServers replaces the servers and the evacuated zones by those of a peer of the
 // same era, unless the peer's revision is older or not known. At the same revision they
 // differ if the grace of a server or of a zone has ended at the peer, or if this process
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -20,6 +21,8 @@
 	request
 	attempts
 	answer
+	// aborted is set if the response was ended so that it looks broken.
+	aborted bool
 }
 
 // run sends the request to one server after another until an attempt is final or
@@ -57,6 +60,8 @@
 		x.finishCanceled()
 	case outcomeConfigStale:
 		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(x.g.staleDelay()))
+	case outcomeSlowCaller:
+		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, verdict.MayHaveRun, "the caller reads too slowly"))
 	case outcomeQuarantined:
 		x.refuseOrAbort(x.quarantineRefusal(0))
 	default:
@@ -91,6 +96,7 @@
 func (x *exchange) selectServer() (*backends.Choice, error) {
 	request := backends.PickRequest{
 		Service: x.service, ServiceName: x.serviceName, PromptTokens: x.call.PromptTokens,
+		BodyBytes:    len(x.body),
 		AnswerTokens: x.call.LengthHint,
 		TriedServers: x.triedServers, AvoidGroups: x.avoidGroups, HomeRegions: x.homeRegions,
 		StartObjective: x.route.Objective, UntilDeadline: x.untilDeadline(),
@@ -143,7 +149,7 @@
 	if x.headerSent {
 		x.g.metrics.countBrokenOff(x.serverGivenUp)
 		x.g.logResponseEnd(x, "broken_off", e.Reason)
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	if x.mayHaveRun {
 		e = verdict.Wrap(e.Code, verdict.MayHaveRun, e.Reason, e.Err)
@@ -151,12 +157,38 @@
 	x.g.refuse(x, e)
 }
 
+// abortResponse ends the request so that a response that has begun looks broken to the
+// caller. It does not return. A caller of HTTP/1.0 gets a reset: it takes the end of the
+// connection for the end of a response without a length.
+func (x *exchange) abortResponse() {
+	if x.headerSent && !x.r.ProtoAtLeast(1, 1) {
+		resetConnection(x.w)
+	}
+	x.aborted = true
+	// http.Server still writes what it has buffered.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(lastWriteTime)) // Fails only for a closed connection.
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the connection of a caller.
+func resetConnection(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // The connection is closed already.
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // On failure, Close still ends the connection.
+	}
+	_ = c.Close()
+}
+
 // finishCanceled ends a request whose deadline has passed, whose caller has
 // disconnected or that is still open when the gateway stops.
 func (x *exchange) finishCanceled() {
-	if x.r.Context().Err() != nil {
+	// A write that fails at the deadline ends the context of the caller too.
+	if x.r.Context().Err() != nil && !errors.Is(context.Cause(x.ctx), context.DeadlineExceeded) {
 		x.g.logResponseEnd(x, "caller_left", "")
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	if errors.Is(context.Cause(x.ctx), errStopping) {
 		x.refuseOrAbort(verdict.Refuse(verdict.Unavailable, x.verdict(), "the gateway stops").WithRetryAfter(x.g.staleDelay()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,8 @@
 	// response; requests still open then are refused, and all connections are closed
 	// lastAnswersTime later.
 	DrainTimeout time.Duration
+	// Memory bounds what is held for callers and servers; zero fields have defaults.
+	Memory MemoryLimits
 }
 
 // Options configures a Gateway.
@@ -127,6 +129,15 @@
 	// once, by endRequests.
 	ending      context.Context
 	endRequests context.CancelFunc
+	memory      *memory
+	responses   openResponses
+	// maxUnread is how long a response may stay unread because of its caller.
+	maxUnread time.Duration
+	// noReadAhead switches reading ahead off; set by tests only.
+	noReadAhead bool
+	// maxSilence is how long a server may send nothing of use where the request has no
+	// deadline.
+	maxSilence time.Duration
 	// peakGatewayCount is the highest number of live gateways seen. Limits
 	// shared by all gateways are divided by it, because gateways that are cut
 	// off from this one still use their share.
@@ -144,6 +155,9 @@
 		pool:        upstream.NewPool(),
 		quarantine:  quarantine.NewRegistry(o.Seed),
 		log:         o.Log,
+		memory:      newMemory(o.Limits.Memory),
+		maxUnread:   defaultMaxUnread,
+		maxSilence:  defaultMaxSilence,
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.callerConns = callerconn.NewSet(func() time.Duration {
@@ -164,6 +178,7 @@
 	if limits.Cold != nil {
 		g.directory.SetColdBound(*limits.Cold)
 	}
+	g.memory.configure(limits.Memory)
 	g.log.Info().Str("event", "bounds_reloaded").Msg("")
 }
 
@@ -193,7 +208,7 @@
 	case <-ctx.Done():
 	}
 	g.drain(callerServer, func() {
-		_ = callerListener.Close() // Serve reports the end of the listener.
+		_ = callerconn.CloseListener(callerListener) // Serve reports the end of the listener.
 		<-callersErr
 	})
 	return probeServer.Close()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -72,13 +72,17 @@
 			return outcomeFailed
 		}
 	}
+	if saysNotRun(response.Status) && (mayHaveRunBefore || x.standbyMayHaveRun || x.standby != nil) {
+		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + ", and another may have run the request"
+		return outcomeFailed
+	}
 	if x.headerSent && response.Status != http.StatusOK {
 		x.failureCause = "the server did not resume the stream"
 		return outcomeFailed
 	}
 	if x.route.Repeat == ingress.Stream && response.Status == http.StatusOK {
 		if events == nil {
-			events = newResponseEvents(response)
+			events = newResponseEvents(x.g, response)
 		}
 		return x.relayStream(choice, response, events, metadata)
 	}
@@ -107,6 +111,7 @@
 		Header:        h,
 		Body:          x.body,
 		MaxIdle:       x.maxIdle(),
+		ID:            x.call.ID,
 		Matches:       func(h http.Header) bool { return x.g.headerCodec.MatchesRequest(h, x.call.ID) },
 		BeforeSend:    func() error { return x.beforeSend(choice) },
 		KeepWaiting:   x.waitPolicy(choice),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -91,7 +91,7 @@
 	statuses := newStatusFeed(settings.Name, settings.Zone, directory, logger)
 	suspicions, limits := &suspicionExchange{}, &limitExchange{directory: directory}
 	demand := &demandExchange{directory: directory}
-	others := &gossip{topics: []topic{suspicions, limits, demand}}
+	others := &gossip{topics: []topic{suspicions, limits, demand}, onPanic: logPanic(logger)}
 	meshNode, err := mesh.Listen(mesh.Options{
 		Self: mesh.Peer{
 			ID: settings.Name, Address: settings.Mesh, Role: mesh.Gateway, Zone: settings.Zone, Incarnation: incarnation,
@@ -100,6 +100,7 @@
 		Handler:      packetHandler(directory, statuses, others, logger),
 		OnPeerChange: peerChangeHandler(directory, others, logger),
 		OnError:      logMeshError(logger),
+		OnPanic:      logPanic(logger),
 	})
 	if err != nil {
 		return err
@@ -187,6 +188,7 @@
 		Cold:         coldBound(settings),
 		DrainDelay:   min(unreadyDetectionTime, settings.Bounds.Grace()/2),
 		DrainTimeout: settings.Bounds.Grace() - shutdownReserve(settings.Bounds.Grace()),
+		Memory:       gateway.MemoryLimits{ReadAhead: settings.Memory.ConnectionBytes, Total: settings.HeldBytes()},
 	}
 }
 
@@ -242,6 +244,11 @@
 	return func(err error) { logger.Debug().Str("event", "mesh_error").Str("cause", err.Error()).Msg("") }
 }
 
+// logPanic returns a function that logs a panic that became an error.
+func logPanic(logger *logging.Bounded) func(error) {
+	return func(err error) { logger.Error().Str("event", "panic").Str("cause", err.Error()).Msg("") }
+}
+
 // reloadOnSIGHUP reloads the settings on SIGHUP, which the platform sends when
 // they have changed. Only the limits and the regions of zones take effect; changed
 // addresses do so at the next start.
