Let the route decide between requests of equal organisation priority

The priority of an organisation replaced that of the route. The organisation's priority still comes first; the route's decides within it.

The test of negative ages states the format of replies.

--- a/discovery/fuzz_test.go
+++ b/discovery/fuzz_test.go
@@ -75,10 +75,10 @@
 	config, err := encode(testConfig)
 	assert.NilError(t, err)
 	f := newFuzzFollower(&fakeSource{})
-	assert.ErrorContains(t, f.applyReply(&discoverypb.Reply{Version: 5, Config: config, AgeUs: -time.Hour.Microseconds()}, f.uptime(), "peer"), "age")
+	assert.ErrorContains(t, f.applyReply(&discoverypb.Reply{Format: replyFormat, Version: 5, Revision: 1, Config: config, AgeUs: -time.Hour.Microseconds()}, f.uptime(), "peer"), "age")
 	_, ok := f.ProofAge()
 	assert.Assert(t, !ok)
-	assert.NilError(t, f.applyReply(&discoverypb.Reply{Version: 5, Config: config, AgeUs: 1000}, f.uptime(), "peer"))
+	assert.NilError(t, f.applyReply(&discoverypb.Reply{Format: replyFormat, Version: 5, Revision: 1, Config: config, AgeUs: 1000}, f.uptime(), "peer"))
 	age, ok := f.ProofAge()
 	assert.Assert(t, ok && age >= time.Millisecond, "%v", age)
 }
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -36,8 +36,8 @@
 	h := newHarness(t)
 	server := h.addForgetfulServer("a", maxIdleNonRepeatable+50*time.Millisecond)
 	h.start()
-	for range 3 {
-		response := h.send("/once/x")
+	for i := range 3 {
+		response := h.send("/once/x", "Id", fmt.Sprint(i)) // A connection carries each ID once.
 		assert.NilError(t, response.err)
 		assert.Equal(t, response.status, http.StatusOK)
 		time.Sleep(maxIdleNonRepeatable + 100*time.Millisecond)
@@ -52,8 +52,8 @@
 	h.addForgetfulServer("a", 50*time.Millisecond)
 	h.addForgetfulServer("b", 50*time.Millisecond)
 	h.start()
-	for range 6 {
-		response := h.send("/again/x")
+	for i := range 6 {
+		response := h.send("/again/x", "Id", fmt.Sprint(i))
 		assert.NilError(t, response.err)
 		assert.Equal(t, response.status, http.StatusOK)
 		time.Sleep(100 * time.Millisecond)
@@ -69,14 +69,17 @@
 		h.addServer(id, func(c net.Conn, r *http.Request) { writeResponse(c, r, http.StatusOK, "ok") })
 	}
 	h.start()
-	for range 40 {
-		assert.Equal(t, h.send("/again/x", "Id", "10").status, http.StatusOK)
+	var logged strings.Builder
+	for i := range 40 {
+		id := fmt.Sprintf("%d0", i) // Requests with such IDs are always logged.
+		assert.Equal(t, h.send("/again/x", "Id", id).status, http.StatusOK)
+		logged.WriteString(h.logLines(id))
 	}
 	opened, reused := h.gateway.pool.DialAttempts(), h.gateway.pool.Reuses()
 	// A connection becomes idle a moment after the caller has the response.
 	assert.Assert(t, opened <= 10, "%d opened", opened)
 	assert.Equal(t, opened+reused, int64(40))
-	assert.Assert(t, strings.Contains(h.logLines("10"), "reused=true"))
+	assert.Assert(t, strings.Contains(logged.String(), "reused=true"))
 	var metrics strings.Builder
 	h.gateway.Metrics().WritePrometheus(&metrics)
 	assert.Assert(t, strings.Contains(metrics.String(), fmt.Sprintf("bluebellwind_server_connections_reused %d\n", reused)), metrics.String())
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,8 +39,8 @@
 	// callerRetry is set if the caller was probably refused before and retries:
 	// a part of its time has already been used up.
 	callerRetry bool
-	// priority is that of the route or, if it has one, of the organisation; 0 is the
-	// most urgent.
+	// priority is that of the request among the requests for its service, see
+	// ingress.Table.Priority; 0 is the most urgent.
 	priority int
 	// homeRegions are the regions whose servers may get the request; nil if all may.
 	homeRegions []string
@@ -103,8 +103,8 @@
 	return arrived.Add(max(timeout-deadlineMargin, deadlineMargin))
 }
 
-// serverPriority converts a priority set by operators into one for servers; 0 is
-// served first in both. Among requests of equal priority, a caller's retry comes
+// serverPriority converts the priority of a request into one for servers; 0 is served
+// first in both. Among requests of equal priority, a caller's retry comes
 // after requests that can still be on time.
 func serverPriority(priority int, callerRetry bool) int {
 	level := 2 * max(priority, 0)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"bluebellwind.example/admission"
+	"bluebellwind.example/ingress"
 	"bluebellwind.example/verdict"
 )
 
@@ -99,25 +101,22 @@
 		return verdict.Refuse(verdict.NoRoute, verdict.NotRun, "no route leads from here")
 	}
 	x.callerRetry = isCallerRetry(x.call.Remaining, x.route.Timeout)
-	x.priority = x.route.Priority
+	var organisation *ingress.Organisation
 	if table.RequiresKey() && !x.route.Public {
 		if !fresh {
 			return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(g.staleDelay())
 		}
-		organisation := table.Organisation(x.call.Key)
-		if organisation == nil {
+		if organisation = table.Organisation(x.call.Key); organisation == nil {
 			return verdict.Refuse(verdict.Unauthenticated, verdict.NotRun, "the key is not known")
 		}
 		x.organisation, x.authenticated = organisation.Name, true
-		if organisation.HasPriority {
-			x.priority = organisation.Priority
-		}
 	}
-	x.serverPriority = serverPriority(x.priority, x.callerRetry)
 	// A known key restricts the regions on public routes too.
 	x.homeRegions = homeRegions(x.route, table.Organisation(x.call.Key))
 	x.serviceName = x.route.ChooseService(rand.Float64())
 	x.service = table.Service(x.serviceName)
+	x.priority = table.Priority(x.serviceName, x.route, organisation, admission.Priorities)
+	x.serverPriority = serverPriority(x.priority, x.callerRetry)
 	x.deadline = requestDeadline(x.arrived, x.route, x.call.Remaining)
 	if end := g.drainEnd.Load(); end != nil && (x.deadline.IsZero() || x.deadline.After(*end)) {
 		return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the gateway stops").WithRetryAfter(g.staleDelay())
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -14,6 +14,9 @@
 	servicesByName map[string]*Service
 	// organisationsByKey holds the organisation of each key.
 	organisationsByKey map[string]*Organisation
+	// urgencies are the urgencies that requests for each service may have, most urgent
+	// first.
+	urgencies map[string][]urgency
 }
 
 // NewTable returns the lookup form of c. The caller must not change c afterwards.
@@ -39,6 +42,7 @@
 			t.organisationsByKey[key] = &c.Organisations[i]
 		}
 	}
+	t.urgencies = urgenciesOf(c)
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
