Ask the store less often while servers only write their entries again

After entries that bring nothing new the next call waits 0.6 s. A change of the configuration, an evacuation or a server is followed after 0.35 s as before, and is seen 0.25 s later at most.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -131,11 +131,19 @@
 	}
 }
 
-// Put adds or replaces a published server.
-func (d *Directory) Put(s Server) {
+// Put adds or replaces a published server, and reports whether it was unknown or differs in
+// more than the time that it stays cold.
+func (d *Directory) Put(s Server) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	changed = true
+	if e := d.servers[s.ID]; e != nil {
+		known := e.Server
+		known.ColdRemaining = s.ColdRemaining
+		changed = known != s
+	}
 	d.put(s, time.Now())
+	return changed
 }
 
 // put implements Put. The caller holds the lock.
--- a/discovery/era_test.go
+++ b/discovery/era_test.go
@@ -39,13 +39,13 @@
 			uptime := 10 * time.Second
 			f := newIdleFollower(&uptime)
 			assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Config: newConfig(7), Revision: 10}, 9*time.Second))
-			assert.NilError(t, f.applyChanges(position{revision: 10}, changes, 10*time.Second))
+			assert.NilError(t, applied(f.applyChanges(position{revision: 10}, changes, 10*time.Second)))
 			age, ok := f.ProofAge()
 			assert.Assert(t, ok && age == time.Second, "the response was taken for a proof: %v", age)
-			assert.NilError(t, f.applyChanges(position{revision: 12}, &Changes{Revision: 13}, 10*time.Second))
+			assert.NilError(t, applied(f.applyChanges(position{revision: 12}, &Changes{Revision: 13}, 10*time.Second)))
 			age, _ = f.ProofAge()
 			assert.Equal(t, age, time.Second, "a later response without changes was taken for a proof")
-			assert.NilError(t, f.applyChanges(position{revision: 13}, &Changes{Revision: 14, Config: newConfig(11)}, 10*time.Second))
+			assert.NilError(t, applied(f.applyChanges(position{revision: 13}, &Changes{Revision: 14, Config: newConfig(11)}, 10*time.Second)))
 			age, _ = f.ProofAge()
 			assert.Equal(t, age, time.Duration(0))
 		})
@@ -60,7 +60,7 @@
 	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Era: 1, Config: newConfig(7), Revision: 10}, uptime))
 	at := f.currentPosition()
 	changes := &Changes{Era: 2, Revision: 14, Config: newConfig(8)}
-	assert.NilError(t, f.applyChanges(at, changes, uptime))
+	assert.NilError(t, applied(f.applyChanges(at, changes, uptime)))
 	assert.Equal(t, f.Table().Version(), int64(7), "changes of another history were applied")
 	assert.Equal(t, f.currentPosition(), position{era: 2})
 
@@ -81,19 +81,19 @@
 	assert.NilError(t, f.applySnapshot(position{era: 1, revision: 10}, &Snapshot{Era: 2, Config: newConfig(5), Revision: 8}, uptime))
 	assert.Equal(t, f.Table().Version(), int64(7), "the configuration went back")
 	uptime += restoreSettleTime
-	assert.NilError(t, f.applyChanges(position{era: 2, revision: 8}, &Changes{Era: 2, Revision: 9}, uptime))
+	assert.NilError(t, applied(f.applyChanges(position{era: 2, revision: 8}, &Changes{Era: 2, Revision: 9}, uptime)))
 	age, _ := f.ProofAge()
 	assert.Equal(t, age, uptime-provenAt, "an older configuration than the one in use was taken for the newest")
 
-	assert.NilError(t, f.applyChanges(position{era: 2, revision: 9}, &Changes{Era: 2, Revision: 10, Config: newConfig(7)}, uptime))
+	assert.NilError(t, applied(f.applyChanges(position{era: 2, revision: 9}, &Changes{Era: 2, Revision: 10, Config: newConfig(7)}, uptime)))
 	age, _ = f.ProofAge()
 	assert.Equal(t, age, time.Duration(0))
 
-	assert.NilError(t, f.applyChanges(f.currentPosition(), &Changes{Era: 3, Revision: 11}, uptime))
+	assert.NilError(t, applied(f.applyChanges(f.currentPosition(), &Changes{Era: 3, Revision: 11}, uptime)))
 	assert.NilError(t, f.applySnapshot(f.currentPosition(), &Snapshot{Era: 3, Config: newConfig(7), Revision: 9}, uptime))
 	provenAt = uptime
 	uptime += restoreSettleTime / 2
-	assert.NilError(t, f.applyChanges(f.currentPosition(), &Changes{Era: 3, Revision: 9}, uptime))
+	assert.NilError(t, applied(f.applyChanges(f.currentPosition(), &Changes{Era: 3, Revision: 9}, uptime)))
 	age, _ = f.ProofAge()
 	assert.Equal(t, age, uptime-provenAt, "the source may still lack a newer version")
 }
@@ -111,11 +111,11 @@
 	peer := newIdleFollower(&earlier)
 	assert.NilError(t, peer.applySnapshot(position{}, &Snapshot{Era: 4, Config: newConfig(7), Revision: 9}, earlier))
 	peer.uptime = f.uptime
-	assert.NilError(t, peer.applyChanges(peer.currentPosition(), &Changes{Era: 4, Revision: 10}, uptime))
+	assert.NilError(t, applied(peer.applyChanges(peer.currentPosition(), &Changes{Era: 4, Revision: 10}, uptime)))
 	reply, err := peer.Published(t.Context(), f.newQuestion())
 	assert.NilError(t, err)
 	assert.NilError(t, f.applyReply(reply, uptime, "peer"))
-	assert.NilError(t, f.applyChanges(f.currentPosition(), &Changes{Era: 4, Revision: 10}, uptime))
+	assert.NilError(t, applied(f.applyChanges(f.currentPosition(), &Changes{Era: 4, Revision: 10}, uptime)))
 	age, ok := f.ProofAge()
 	assert.Assert(t, ok && age == 0)
 }
--- a/discovery/evacuation_test.go
+++ b/discovery/evacuation_test.go
@@ -48,7 +48,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, used, []string{"za"})
 	changes := []ZoneChange{{"zb", true}, {"za", false}, {"za", true}, {"za", false}}
-	assert.NilError(t, f.applyChanges(f.at, &Changes{Era: 1, Revision: 14, Evacuations: changes}, now))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 1, Revision: 14, Evacuations: changes}, now)))
 	used, _ = zonesUsed(f, "za", "zb")
 	assert.DeepEqual(t, used, []string{"zb"})
 	f.resetRevision()
@@ -70,23 +70,23 @@
 	f := newIdleFollower(&now)
 	assert.NilError(t, f.applySnapshot(position{}, zonesSnapshot(1, 10, "za"), now))
 	now += time.Second
-	assert.NilError(t, f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, now))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, now)))
 	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(2, 9, "zb"), now))
 	used, _ := zonesUsed(f, "za", "zb")
 	assert.DeepEqual(t, used, []string{"za", "zb"}) // What is published counts at once.
 	sentAt := now + restoreSettleTime - time.Millisecond
 	now += 10 * restoreSettleTime // The source did not respond, so nothing is known.
-	assert.NilError(t, f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, sentAt))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, sentAt)))
 	used, _ = zonesUsed(f, "za", "zb")
 	assert.DeepEqual(t, used, []string{"za", "zb"})
-	assert.NilError(t, f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, now))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, now)))
 	used, _ = zonesUsed(f, "za", "zb")
 	assert.DeepEqual(t, used, []string{"zb"})
 
 	// The deletion of a key takes effect at once, also soon after a restore.
-	assert.NilError(t, f.applyChanges(f.at, &Changes{Era: 3, Revision: 9}, now))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 3, Revision: 9}, now)))
 	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(3, 9, "zb"), now))
-	assert.NilError(t, f.applyChanges(f.at, &Changes{Era: 3, Revision: 10, Evacuations: []ZoneChange{{"zb", false}}}, now))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 3, Revision: 10, Evacuations: []ZoneChange{{"zb", false}}}, now)))
 	used, _ = zonesUsed(f, "za", "zb")
 	assert.Equal(t, len(used), 0)
 }
@@ -106,7 +106,7 @@
 	}
 	alone, told := fresh(), fresh()
 	now += restoreSettleTime
-	assert.NilError(t, alone.applyChanges(alone.at, &Changes{Era: 2, Revision: 10}, now))
+	assert.NilError(t, applied(alone.applyChanges(alone.at, &Changes{Era: 2, Revision: 10}, now)))
 	_, err := zonesUsed(alone)
 	assert.NilError(t, err)
 
@@ -122,7 +122,7 @@
 	used, err := zonesUsed(told, "za")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, used, []string{"za"})
-	assert.NilError(t, told.applyChanges(told.at, &Changes{Era: 2, Revision: 10}, now))
+	assert.NilError(t, applied(told.applyChanges(told.at, &Changes{Era: 2, Revision: 10}, now)))
 	used, _ = zonesUsed(told, "za")
 	assert.Equal(t, len(used), 0)
 }
@@ -194,7 +194,7 @@
 	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(1, 30, "new"), now))
 	assert.Assert(t, strings.Contains(log.String(), "change=ended"))
 	started := &Changes{Era: 1, Revision: 31, Updated: []backends.Server{{ID: "n", Service: "s", Address: "127.0.0.1:3", Zone: "new", Slots: 1}}}
-	assert.NilError(t, f.applyChanges(f.at, started, now))
+	assert.NilError(t, applied(f.applyChanges(f.at, started, now)))
 	used, _ = zonesUsed(f, "new")
 	assert.DeepEqual(t, used, []string{"new"})
 	assert.Assert(t, strings.Contains(log.String(), "zone=new change=began era=1 revision=31"), "%s", log.String())
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -30,6 +30,10 @@
 	// changeDelay is the delay before the next watch after a change. Changes
 	// tend to arrive in bursts, and each call to the source has a cost.
 	changeDelay = 350 * time.Millisecond
+	// heartbeatDelay is the same delay if servers have only written their entries again.
+	// With 64 servers some entry is written all the time, so that each watch returns at
+	// once.
+	heartbeatDelay = 600 * time.Millisecond
 	// sourceTimeout bounds the time that a call to the source may take in
 	// addition to the wait of the watch.
 	sourceTimeout = 900 * time.Millisecond
@@ -163,14 +167,12 @@
 			sleep(ctx, readerPollInterval)
 			continue
 		}
-		changed, err := f.pollSource(ctx)
+		news, err := f.pollSource(ctx)
 		switch {
 		case err == nil:
 			retryDelay = minRetryDelay
 			f.markSourceReachable()
-			if changed {
-				sleep(ctx, changeDelay)
-			}
+			sleep(ctx, news.delay())
 		case errors.Is(err, ErrHistoryGone):
 			f.resetRevision()
 		case ctx.Err() == nil:
@@ -208,9 +210,8 @@
 var errOlderEra = errors.New("discovery: the response precedes a restore of the source")
 
 // pollSource makes one call to the source and applies the response, unless a
-// response of a peer has changed the position in the meantime. It reports whether
-// the source returned a new position.
-func (f *Follower) pollSource(ctx context.Context) (changed bool, err error) {
+// response of a peer has changed the position in the meantime.
+func (f *Follower) pollSource(ctx context.Context) (n news, err error) {
 	defer panics.ToError("reading the source", &err)
 	wait := watchWait
 	if age, ok := f.ProofAge(); ok && age > minWatchWaitAge {
@@ -224,16 +225,45 @@
 	if base.revision == 0 {
 		snapshot, err := f.source.Read(ctx)
 		if err != nil {
-			return false, err
+			return noNews, err
 		}
-		return true, f.applySnapshot(base, snapshot, sentAt)
+		return changes, f.applySnapshot(base, snapshot, sentAt)
 	}
-	changes, err := f.source.Watch(ctx, base.revision, wait)
+	received, err := f.source.Watch(ctx, base.revision, wait)
 	if err != nil {
-		return false, err
+		return noNews, err
+	}
+	changed, err := f.applyChanges(base, received, sentAt)
+	switch {
+	case received.Era != base.era || received.Revision == base.revision:
+		return noNews, err
+	case !changed:
+		return heartbeats, err
+	}
+	return changes, err
+}
+
+// news is what a call to the source returned.
+type news int
+
+const (
+	// noNews means that the source is still at the same position.
+	noNews news = iota
+	// heartbeats means that servers have only written their entries again.
+	heartbeats
+	// changes means that something has changed.
+	changes
+)
+
+// delay returns the delay before the next call to the source.
+func (n news) delay() time.Duration {
+	switch n {
+	case heartbeats:
+		return heartbeatDelay
+	case changes:
+		return changeDelay
 	}
-	changed = changes.Era == base.era && changes.Revision != base.revision
-	return changed, f.applyChanges(base, changes, sentAt)
+	return 0
 }
 
 // applySnapshot replaces the configuration and all servers by a complete state that
@@ -266,28 +296,29 @@
 
 // applyChanges applies a change of the configuration and of single servers. It drops
 // them if the position is no longer base, from which they were requested. Changes of
-// a newer era belong to another history: the next call reads the complete state. The
-// error is errOlderEra.
-func (f *Follower) applyChanges(base position, changes *Changes, sentAt time.Duration) error {
+// a newer era belong to another history: the next call reads the complete state. It
+// reports whether anything but the time that servers stay cold has changed. The error is
+// errOlderEra.
+func (f *Follower) applyChanges(base position, c *Changes, sentAt time.Duration) (changed bool, err error) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	if f.at != base {
-		return nil
+		return false, nil
 	}
-	switch f.observeEra(changes.Era, f.uptime()) {
+	switch f.observeEra(c.Era, f.uptime()) {
 	case olderEra:
-		return errOlderEra
+		return false, errOlderEra
 	case newerEra:
-		return nil
+		return true, nil
 	}
-	f.applyPublished(changes.Config, changes.ConfigInvalid)
-	f.at.revision = changes.Revision
+	f.applyPublished(c.Config, c.ConfigInvalid)
+	f.at.revision = c.Revision
 	complete := f.eras.settled(sentAt)
-	f.changeEvacuations(f.at, complete, func(e evacuations) { e.apply(changes.Evacuations, complete) })
-	f.updateServers(changes)
+	f.changeEvacuations(f.at, complete, func(e evacuations) { e.apply(c.Evacuations, complete) })
+	changed = f.updateServers(c) || c.Config != nil || c.ConfigInvalid || len(c.Evacuations) > 0
 	f.logZones()
 	f.recordProofOfSource(sentAt)
-	return nil
+	return changed, nil
 }
 
 // observeEra records the era of a response, and that it was there already at seenAt,
@@ -348,10 +379,11 @@
 	}
 }
 
-// updateServers applies changes of single servers. The caller holds applyMu.
-func (f *Follower) updateServers(c *Changes) {
+// updateServers applies changes of single servers, and reports whether there are any but
+// of the time that servers stay cold. The caller holds applyMu.
+func (f *Follower) updateServers(c *Changes) (changed bool) {
 	for _, s := range c.Updated {
-		f.directory.Put(s)
+		changed = f.directory.Put(s) || changed
 		if s.Draining {
 			f.logServer(s.ID, "draining")
 		}
@@ -361,6 +393,7 @@
 		f.directory.Remove(id, f.removalGrace(now), now)
 		f.logServer(id, "removed")
 	}
+	return changed || len(c.Removed) > 0
 }
 
 func (f *Follower) logServer(id, change string) {
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -258,7 +258,7 @@
 	f := NewFollower(&fakeSource{}, backends.NewDirectory("z", 1), PeerAddresses{}, logging.New(io.Discard, "error"))
 	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Config: newConfig(7), Revision: 10}, time.Second))
 	f.at.revision = 20
-	assert.NilError(t, f.applyChanges(position{revision: 10}, &Changes{Config: newConfig(8), Revision: 15}, 2*time.Second))
+	assert.NilError(t, applied(f.applyChanges(position{revision: 10}, &Changes{Config: newConfig(8), Revision: 15}, 2*time.Second)))
 	assert.Equal(t, f.Table().Version(), int64(7), "the outdated response was applied")
 	assert.Equal(t, f.currentPosition(), position{revision: 20})
 	assert.Equal(t, f.provenAt.Load(), int64(time.Second))
@@ -273,3 +273,39 @@
 	assert.Equal(t, len(SelectReaders("aa", peers)), 0)
 	assert.Equal(t, len(SelectReaders("only", nil)), 0)
 }
+
+// applied returns the error of applyChanges.
+func applied(_ bool, err error) error { return err }
+
+// changeSource returns the same changes to each watch.
+type changeSource struct {
+	fakeSource
+	changes Changes
+}
+
+func (s *changeSource) Watch(context.Context, int64, time.Duration) (*Changes, error) {
+	return &s.changes, nil
+}
+
+// Guards against readers of the source that ask again at once after each heartbeat of a
+// server, of which a large fleet writes some all the time.
+func TestHeartbeatsOfServersDelayTheNextCall(t *testing.T) {
+	f := newFuzzFollower(&fakeSource{})
+	known := backends.Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 2}
+	delayAfter := func(c Changes) time.Duration {
+		c.Revision = f.currentPosition().revision + 1
+		f.source = &changeSource{changes: c}
+		n, err := f.pollSource(t.Context())
+		assert.NilError(t, err)
+		return n.delay()
+	}
+	assert.NilError(t, f.applySnapshot(f.currentPosition(), &Snapshot{Config: testConfig, Servers: []backends.Server{known}, Revision: 7}, f.uptime()))
+	heartbeat := known
+	heartbeat.ColdRemaining = time.Second
+	assert.Equal(t, delayAfter(Changes{Updated: []backends.Server{heartbeat}}), heartbeatDelay)
+	draining := known
+	draining.Draining = true
+	assert.Equal(t, delayAfter(Changes{Updated: []backends.Server{heartbeat, draining}}), changeDelay)
+	assert.Equal(t, delayAfter(Changes{Removed: []string{"a"}}), changeDelay)
+	assert.Equal(t, delayAfter(Changes{Config: newConfig(6)}), changeDelay)
+}
--- a/discovery/restore_schedule_test.go
+++ b/discovery/restore_schedule_test.go
@@ -495,7 +495,7 @@
 				g.follower.resetRevision()
 				return
 			}
-			s.applied(i, g.follower.applyChanges(base, changes, sentAt))
+			s.applied(i, applied(g.follower.applyChanges(base, changes, sentAt)))
 		})
 	})
 }
