--- a/upstream/idle_test.go
+++ b/upstream/idle_test.go
@@ -90,8 +90,8 @@
 	address, accepted := startKeepingBackend(t, "timeout=20")
 	p := upstream.NewPool()
 	for started := range int64(3) {
-		for range 2 {
-			r := newRequest(address, "1")
+		for i := range 2 {
+			r := newRequest(address, fmt.Sprintf("%d-%d", started, i)) // A connection carries each ID once.
 			r.ServerStarted = started
 			_, err := sendAndRead(t, p, r)
 			assert.NilError(t, err)
