--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -21,6 +21,12 @@
 	// moment at which its request was sent, so its age reaches at least this
 	// value before the next proof arrives.
 	watchWait = 1200 * time.Millisecond
+	// readerWatchWait replaces watchWait while other gateways depend on this one. Its proofs
+	// reach an age of two waits, which must stay below maxReaderProofAge; otherwise they
+	// call the source themselves between two of its responses.
+	readerWatchWait = 850 * time.Millisecond
+	// dependentSpan is how long a gateway counts as depending on this one after a query.
+	dependentSpan = 3 * time.Second
 	// minWatchWait replaces watchWait while the proof is old, so that the source
 	// responds almost at once, with changes or without.
 	minWatchWait = time.Millisecond
@@ -64,6 +70,9 @@
 	// the time since the machine booted in nanoseconds; 0 means that there is no
 	// proof yet.
 	provenAt atomic.Int64
+	// queriedAt is when another gateway last queried this one, as the time since the
+	// machine booted in nanoseconds; 0 if none has.
+	queriedAt atomic.Int64
 	// calls counts the calls to the source, failedCalls those that failed.
 	calls       atomic.Int64
 	failedCalls atomic.Int64
@@ -214,6 +223,9 @@
 func (f *Follower) pollSource(ctx context.Context) (n news, err error) {
 	defer panics.ToError("reading the source", &err)
 	wait := watchWait
+	if queried := f.queriedAt.Load(); queried != 0 && f.uptime()-time.Duration(queried) < dependentSpan {
+		wait = readerWatchWait
+	}
 	if age, ok := f.ProofAge(); ok && age > minWatchWaitAge {
 		wait = minWatchWait
 	}
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/poll"
 
 	"bluebellwind.example/backends"
+	"bluebellwind.example/discovery/discoverypb"
 	"bluebellwind.example/ingress"
 	"bluebellwind.example/internal/logging"
 )
@@ -309,3 +310,36 @@
 	assert.Equal(t, delayAfter(Changes{Removed: []string{"a"}}), changeDelay)
 	assert.Equal(t, delayAfter(Changes{Config: newConfig(6)}), changeDelay)
 }
+
+// Guards against gateways that call the source themselves although a reader of their zone
+// does: its proofs are older than they accept for a part of the time if it waits as long for
+// a change as a gateway on which none depends.
+func TestReaderKeepsItsProofsFreshForOthers(t *testing.T) {
+	assert.Assert(t, 2*readerWatchWait < maxReaderProofAge)
+	f := newFuzzFollower(&fakeSource{})
+	waits := &waitingSource{}
+	f.source = waits
+	assert.NilError(t, f.applySnapshot(f.currentPosition(), &Snapshot{Config: testConfig, Revision: 7}, f.uptime()))
+	poll := func() time.Duration {
+		_, err := f.pollSource(t.Context())
+		assert.NilError(t, err)
+		return waits.wait
+	}
+	assert.Equal(t, poll(), watchWait)
+	_, err := f.Published(t.Context(), &discoverypb.Question{})
+	assert.NilError(t, err)
+	assert.Equal(t, poll(), readerWatchWait)
+	f.queriedAt.Store(int64(f.uptime() - dependentSpan))
+	assert.Equal(t, poll(), watchWait)
+}
+
+// waitingSource records how long a watch may wait.
+type waitingSource struct {
+	fakeSource
+	wait time.Duration
+}
+
+func (s *waitingSource) Watch(_ context.Context, after int64, wait time.Duration) (*Changes, error) {
+	s.wait = wait
+	return &Changes{Revision: after}, nil
+}
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -61,6 +61,7 @@
 // proof that the configuration is the newest.
 func (f *Follower) Published(_ context.Context, request *discoverypb.Question) (reply *discoverypb.Reply, err error) {
 	defer panics.ToError("answering a peer", &err)
+	f.queriedAt.Store(int64(f.uptime()))
 	// The age is read before the table, so that the proof of a newer table is
 	// never returned with an older one.
 	age, ok := f.ProofAge()
