Do not avoid cold servers for a server that the request cannot use

Cause: a request that is not of the most urgent priority avoids cold servers while another server has a free slot. The check counted servers in other regions, servers tried before, groups to be avoided, servers whose cache or budget is used up and stalled groups. Such a request was refused although cold servers had room. Change: the check runs after all other exclusions and skips the servers that they name, those closed by their budget and those of stalled groups.

--- a/backends/cold.go
+++ b/backends/cold.go
@@ -250,8 +250,9 @@
 }
 
 // coldServersToAvoid returns the cold servers of a service, which a request that is not of the
-// most urgent priority avoids while another server has a free slot. The caller holds the lock.
-func (d *Directory) coldServersToAvoid(r *PickRequest, t *serviceTable, now time.Time) []string {
+// most urgent priority avoids while another server that it may use has a free slot. unusable
+// has the IDs of the servers that it must not use. The caller holds the lock.
+func (d *Directory) coldServersToAvoid(r *PickRequest, t *serviceTable, unusable []string, now time.Time) []string {
 	if r.Priority == 0 || r.Service == nil || r.Service.ColdPerSecond <= 0 {
 		return nil
 	}
@@ -262,8 +263,11 @@
 		switch {
 		case d.cold.remaining(c.Server, r.Service, now) > 0:
 			avoid = append(avoid, c.Server)
-		case !c.Draining && !c.Excluded && c.Load.Running+c.Load.Queued[0]+c.Load.Queued[1] < c.Load.Slots:
-			free = true
+		case free || c.Draining || c.Excluded || c.ZonePenalty >= stalledPenalty || slices.Contains(unusable, c.Server):
+		case c.Load.Running+c.Load.Queued[0]+c.Load.Queued[1] < c.Load.Slots:
+			// The budget may have been used up since the table was updated.
+			e := d.servers[c.Server]
+			free = e != nil && !e.closedByBudget
 		}
 	}
 	if !free {
--- a/backends/cold_test.go
+++ b/backends/cold_test.go
@@ -218,3 +218,41 @@
 	assert.Equal(t, sent, 0)
 	assert.Assert(t, !d.Joining(start.Add(2*time.Second)))
 }
+
+// Requests that are not of the most urgent priority were refused while cold servers had room:
+// the warm server for whose free slots they avoided the cold ones was one that they could not
+// use, as it was elsewhere, tried before, without a budget or in a group to be avoided.
+func TestColdServersAreUsedIfNoOtherServerIsUsable(t *testing.T) {
+	for name, restrict := range map[string]func(*Directory, *PickRequest){
+		"elsewhere": func(d *Directory, r *PickRequest) {
+			d.SetRegions(map[string]string{"z": "east", "y": "west"})
+			r.HomeRegions = []string{"east"}
+		},
+		"tried":  func(_ *Directory, r *PickRequest) { r.TriedServers = []string{"warm"} },
+		"budget": func(d *Directory, r *PickRequest) { useBudget(t, d, r) },
+		"group":  func(_ *Directory, r *PickRequest) { r.AvoidGroups = []string{"g"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newColdDirectory()
+			warm, cold := plainServer("warm", 10), plainServer("cold", 10)
+			warm.Zone, warm.Group, warm.Open = "y", Group{Name: "g", Epoch: 1, Size: 1}, true
+			cold.Zone, cold.ColdRemaining = "z", 3*time.Second
+			d.put(warm, start)
+			d.put(cold, start)
+			r := newColdRequest(name == "budget")
+			r.Priority = 1
+			restrict(d, &r)
+			c, err := d.Pick(r, start)
+			assert.NilError(t, err)
+			assert.Equal(t, c.ID, "cold")
+		})
+	}
+}
+
+// useBudget uses up the budget of the server with the ID warm.
+func useBudget(t *testing.T, d *Directory, r *PickRequest) {
+	t.Helper()
+	others := *r
+	others.TriedServers = []string{"cold"}
+	sendUntilRefused(t, d, others, 100, start)
+}
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -170,7 +170,6 @@
 	}
 	d.recordArrival(&r, now)
 	excluded := append(d.serversInGroups(r.AvoidGroups), d.serversElsewhere(&r)...)
-	excluded = append(excluded, d.coldServersToAvoid(&r, t, now)...)
 	var admitted decision
 	if r.usesEngine() {
 		var otherServers []string
@@ -181,9 +180,10 @@
 		excluded = append(excluded, otherServers...)
 	}
 	full := d.serversWithFullCache(&r)
-	excluded = append(excluded, full...)
+	excluded = append(append(excluded, full...), r.TriedServers...)
+	excluded = append(excluded, d.coldServersToAvoid(&r, t, excluded, now)...)
 	choice, err := t.table.Pick(routing.Request{
-		PromptTokens: r.PromptTokens, ExcludedServers: append(excluded, r.TriedServers...),
+		PromptTokens: r.PromptTokens, ExcludedServers: excluded,
 		ConnectedServers: d.connectedServers(r.ServiceName, r.ConnectedAddresses),
 	}, now)
 	if err != nil {
