Promise capacity only to callers that are told to return

Cause: every refusal for load reserved capacity for the return of the caller, also that of a standby, whose caller waits for another attempt, and that of the first of two selections of an attempt that avoids groups. A silent server led to one more such promise every 300 ms, and all gateways heard of them. Change: the gateway marks selections of whose refusal the caller is not told, and these promise nothing. Result: the case "further" of TestRefusalPromisesOnlyWhatItsCallerIsTold fails before and passes now.

--- a/backends/admit_test.go
+++ b/backends/admit_test.go
@@ -220,3 +220,41 @@
 	difference := half.estimateWait(r, demand).Wait - whole.estimateWait(r, demand).Wait
 	assert.Assert(t, difference.Abs() < 20*time.Millisecond, "%v", difference)
 }
+
+// A standby and another attempt are asked for by a request whose caller still waits. Their
+// refusals were counted as promises, each attempt once more, and took capacity from callers
+// that do return.
+func TestRefusalPromisesOnlyWhatItsCallerIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		change            func(*PickRequest)
+		waiting, promises int
+	}{
+		"new":      {func(*PickRequest) {}, 5, 1},
+		"returned": {func(r *PickRequest) { r.RefusedBefore = true }, 5, 0},
+		"sent":     {func(r *PickRequest) { r.SentBefore = true }, 20, 1},
+		"further":  {func(r *PickRequest) { r.SentBefore, r.CallerUninformed = true, true }, 20, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newColdDirectory()
+			d.put(plainServer("a", 10), start)
+			r := newColdRequest(true)
+			r.Service.ColdPerSecond = 0
+			r.StartObjective = 400 * time.Millisecond
+			c.change(&r)
+			d.UpdateStatus("a:1", Status{Up: true, Open: true, Running: 10, Waiting: c.waiting, ReceivedAt: start, PassTime: 10 * time.Millisecond})
+			_, err := d.Pick(r, start)
+			assert.ErrorContains(t, err, "all slots are taken")
+			promised := 0
+			for _, report := range d.DemandReports(0, start) {
+				for _, service := range report.Services {
+					for _, class := range service.Classes {
+						for _, n := range class.Promised {
+							promised += n
+						}
+					}
+				}
+			}
+			assert.Equal(t, promised, c.promises)
+		})
+	}
+}
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -76,6 +76,9 @@
 	// RefusedBefore says that the caller retries after a refusal. SentBefore says
 	// that a server may already have received the request.
 	RefusedBefore, SentBefore bool
+	// CallerUninformed says that the caller is not told of a refusal, because another
+	// attempt goes on or follows.
+	CallerUninformed bool
 	// Organisation is the name of the caller's organisation; empty if it has none.
 	// Priority is the priority of the request; 0 is the most urgent.
 	Organisation string
--- a/backends/retryafter.go
+++ b/backends/retryafter.go
@@ -55,7 +55,7 @@
 		Service: r.ServiceName, Priority: r.Priority, Ahead: refused.ahead, FreedPerSecond: freedPerSecond(onTime, late),
 		Earliest: max(refused.expectedWait, overloadRetryAfter), Latest: latest, Gateways: r.GatewayCount,
 	}, now)
-	if ok && !r.RefusedBefore { // Callers return once.
+	if ok && !r.RefusedBefore && !r.CallerUninformed { // Callers return once.
 		d.demand.RecordPromise(r.ServiceName, r.Priority, after, now)
 	}
 	return after, ok
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,7 +34,7 @@
 			x.refuseOrAbort(refusal)
 			return
 		}
-		choice, err := x.selectServer()
+		choice, err := x.selectServer(false)
 		if err != nil {
 			x.refuseOrAbort(verdict.AsError(err))
 			return
@@ -92,8 +92,9 @@
 }
 
 // selectServer selects a server. It avoids groups in which an attempt has failed,
-// unless no other group can take the request.
-func (x *exchange) selectServer() (*backends.Choice, error) {
+// unless no other group can take the request. forStandby says that the current attempt goes
+// on if it fails.
+func (x *exchange) selectServer(forStandby bool) (*backends.Choice, error) {
 	request := backends.PickRequest{
 		Service: x.service, ServiceName: x.serviceName, PromptTokens: x.call.PromptTokens,
 		BodyBytes:    len(x.body),
@@ -103,12 +104,13 @@
 		TimeLimit: x.route.Timeout, MaxPause: x.route.PauseObjective, RefusedBefore: x.callerRetry, SentBefore: x.sendCount > 0, GatewayCount: x.g.gatewayCount(),
 		ConnectedAddresses: x.g.pool.IdleServers(x.maxIdle()),
 		Organisation:       x.organisation, Priority: x.priority,
+		CallerUninformed: forStandby || len(x.avoidGroups) > 0,
 	}
 	choice, err := x.g.directory.Pick(request, time.Now())
 	if err == nil || len(x.avoidGroups) == 0 {
 		return choice, err
 	}
-	request.AvoidGroups = nil
+	request.AvoidGroups, request.CallerUninformed = nil, forStandby
 	return x.g.directory.Pick(request, time.Now())
 }
 
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -47,7 +47,7 @@
 		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
 		return
 	}
-	choice, err := x.selectServer()
+	choice, err := x.selectServer(true)
 	if err != nil {
 		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
 		return
