Use the other pool of groups if no server of the admitted one can take a request

Cause: admission chooses between groups that are on time and late ones by their slots. The servers of the other pool are then excluded, so a request for which the chosen pool has no server, since their caches are full, their budgets are used up or they were tried before, was refused while the other pool had room. Change: admission is then applied to the other pool, and the request goes there if it is admitted. Result: TestFullCachesOfOnePoolLeaveTheOther fails before and passes now.

--- a/backends/cache_test.go
+++ b/backends/cache_test.go
@@ -126,3 +126,27 @@
 	}
 	assert.Equal(t, d.HeldTokens(), 0)
 }
+
+// Requests were refused for full memory while groups with slower passes had room, because
+// admission had chosen the other pool of groups.
+func TestFullCachesOfOnePoolLeaveTheOther(t *testing.T) {
+	for _, sentBefore := range []bool{false, true} {
+		d := NewDirectory("z", 1)
+		for group := range 2 {
+			d.put(rankServer(group, 0, 1, true), start)
+			s := rankStatus(group, 0, 1, true, true, start)
+			s.PassTime = time.Duration(1+499*group) * time.Millisecond
+			s.Running = 0
+			d.UpdateStatus(rankServer(group, 0, 1, true).ID+":1", s)
+		}
+		r := newCacheRequest(2000, 1500)
+		r.MaxPause, r.SentBefore = 50*time.Millisecond, sentBefore
+		first, err := d.Pick(r, start)
+		assert.NilError(t, err)
+		second, err := d.Pick(r, start)
+		assert.NilError(t, err)
+		assert.Assert(t, first.Group.Name != second.Group.Name)
+		_, err = d.Pick(r, start)
+		assert.ErrorContains(t, err, "the memory of the backend servers is full")
+	}
+}
--- a/backends/pick.go
+++ b/backends/pick.go
@@ -172,23 +172,24 @@
 		return nil, refusal
 	}
 	d.recordArrival(&r, now)
-	excluded := append(d.serversInGroups(r.AvoidGroups), d.serversElsewhere(&r)...)
+	unusable := append(d.serversInGroups(r.AvoidGroups), d.serversElsewhere(&r)...)
+	full := d.serversWithFullCache(&r)
+	unusable = append(append(unusable, full...), r.TriedServers...)
 	var admitted decision
+	var otherServers []string
 	if r.usesEngine() {
-		var otherServers []string
 		var err error
 		if admitted, otherServers, err = d.admit(&r, t, now); err != nil {
 			return nil, err
 		}
-		excluded = append(excluded, otherServers...)
 	}
-	full := d.serversWithFullCache(&r)
-	excluded = append(append(excluded, full...), r.TriedServers...)
-	excluded = append(excluded, d.coldServersToAvoid(&r, t, excluded, now)...)
-	choice, err := t.table.Pick(routing.Request{
-		PromptTokens: r.PromptTokens, ExcludedServers: excluded,
-		ConnectedServers: d.connectedServers(r.ServiceName, r.ConnectedAddresses),
-	}, now)
+	choice, err := d.pickServer(&r, t, append(otherServers, unusable...), now)
+	if err != nil && len(otherServers) > 0 {
+		// No server of the pool that admission chose can take the request.
+		if admitted, otherServers, err = d.admitToOtherPool(&r, t, admitted.latePool, now); err == nil {
+			choice, err = d.pickServer(&r, t, append(otherServers, unusable...), now)
+		}
+	}
 	if err != nil {
 		return nil, d.noServer(&r, len(full) > 0, now)
 	}
@@ -200,6 +201,15 @@
 	return d.place(&r, t, e, choice, &admitted, now), nil
 }
 
+// pickServer chooses a server that is not in excluded. The caller holds the lock.
+func (d *Directory) pickServer(r *PickRequest, t *serviceTable, excluded []string, now time.Time) (*routing.Choice, error) {
+	excluded = append(excluded, d.coldServersToAvoid(r, t, excluded, now)...)
+	return t.table.Pick(routing.Request{
+		PromptTokens: r.PromptTokens, ExcludedServers: excluded,
+		ConnectedServers: d.connectedServers(r.ServiceName, r.ConnectedAddresses),
+	}, now)
+}
+
 // currentTable returns the table of the service of a request, which it updates if it is
 // outdated. The caller holds the lock.
 func (d *Directory) currentTable(r *PickRequest, now time.Time) *serviceTable {
@@ -300,6 +310,20 @@
 	return admitted, d.serversInGroups(otherGroups), nil
 }
 
+// admitToOtherPool applies admission control to the pool of groups that is not the given one,
+// and is otherwise as admit. The caller holds the lock.
+func (d *Directory) admitToOtherPool(r *PickRequest, t *serviceTable, latePool bool, now time.Time) (admitted decision, otherServers []string, err error) {
+	other := *r
+	other.CallerUninformed = true // The caller is told why the given pool refuses.
+	other.AvoidGroups = slices.Clone(r.AvoidGroups)
+	for name, g := range d.loadsFor(r, t) {
+		if g.late == latePool {
+			other.AvoidGroups = append(other.AvoidGroups, name)
+		}
+	}
+	return d.admit(&other, t, now)
+}
+
 // pools combines the groups that the request may use into the pool of groups that
 // are on time and the pool of late ones. Stalled groups are included only if there
 // are no others. The caller holds the lock.
