Record the failure of each standby

Cause: the failure of a standby was recorded only until one had failed that may have run the request. The response of a later one was never closed, so its connection counted as open for ever, and its server was not blamed. Change: each failure is recorded, and then combined with earlier ones. Result: TestFailureOfEachStandbyIsRecorded fails before, with one cause in the log instead of two, and passes now.

--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +126,28 @@
 	}
 	return c.Conn.Write(p)
 }
+
+// After a first standby had failed, the failure of another was not recorded: its response was
+// never closed, so that its connection counted as open for ever.
+func TestFailureOfEachStandbyIsRecorded(t *testing.T) {
+	h := newHarness(t)
+	h.maxAttempts = 3
+	var requests atomic.Int64
+	for _, id := range []string{"a", "b", "c"} {
+		h.addServer(id, func(c net.Conn, r *http.Request) {
+			if requests.Add(1) > 1 {
+				writeResponse(c, r, http.StatusInternalServerError, "")
+				return
+			}
+			time.Sleep(1200 * time.Millisecond)
+			writeResponse(c, r, http.StatusOK, "late")
+		})
+	}
+	h.start()
+	response := h.send("/again/x")
+	assert.NilError(t, response.err)
+	assert.Equal(t, response.body, "late")
+	lines := h.logLines("1")
+	assert.Equal(t, strings.Count(lines, "standby_failed"), 2, lines)
+	assert.Equal(t, strings.Count(lines, `cause="the server returned status 500"`), 2, lines)
+}
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -149,7 +149,8 @@
 	x.standby = nil
 	defer x.release(s)
 	cause, givenUp := x.failureCause, x.serverGivenUp
-	x.standbyMayHaveRun = x.standbyMayHaveRun || x.recordStandbyFailure(s)
+	mayHaveRun := x.recordStandbyFailure(s)
+	x.standbyMayHaveRun = x.standbyMayHaveRun || mayHaveRun
 	x.g.logFailedAttempt(x, s.choice, "standby_failed", x.failureCause)
 	x.failureCause, x.serverGivenUp = cause, givenUp
 	x.markTried(s.choice)
