Log the stages of switches and count what agents pass on and send

Agents now log what they pass on, the agent of rank 0 how long each stage of a switch took, and all processes of the mesh count their datagrams and bytes. No decision changes.

--- a/groupmap/progress.go
+++ b/groupmap/progress.go
@@ -31,6 +31,35 @@
 	return true
 }
 
+// Progress tells how far the ranks are with a switch.
+type Progress struct {
+	// Prepared and Armed are the numbers of ranks that have prepared the map or are armed
+	// with it.
+	Prepared, Armed int
+	// Unprepared is the lowest rank that has neither prepared nor armed the map, or -1.
+	Unprepared int
+	// Held is set if a rank holds the group, Switched if a rank uses the map.
+	Held, Switched bool
+}
+
+// Progress returns how far the ranks are with the switch to the map with the given version.
+func (s *Switch) Progress(version uint64) Progress {
+	p := Progress{Unprepared: -1, Held: s.Held(), Switched: s.switchTookPlace(version, 0)}
+	for rank, r := range s.rankStates {
+		armed := r.ArmedVersion == version
+		switch {
+		case armed:
+			p.Armed++
+			p.Prepared++
+		case r.PreparedVersion == version:
+			p.Prepared++
+		case p.Unprepared < 0:
+			p.Unprepared = rank
+		}
+	}
+	return p
+}
+
 // Held reports whether a rank holds the group.
 func (s *Switch) Held() bool {
 	heldStep, _, _ := s.heldAndArmed()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -129,6 +129,7 @@
 	suspicions.mesh, suspicions.gateway = meshNode, gw
 	limits.mesh, others.mesh, demand.mesh = meshNode, meshNode, meshNode
 	statuses.register(gw.Metrics())
+	registerTraffic(gw.Metrics(), meshNode)
 	go statuses.run(backgroundCtx, meshNode)
 	go meshNode.Run(backgroundCtx)
 	go others.run(backgroundCtx)
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -6,10 +6,12 @@
 	"runtime"
 	"runtime/debug"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"bluebellwind.example/internal/config"
 	"bluebellwind.example/internal/logging"
+	"bluebellwind.example/mesh"
 )
 
 const (
@@ -38,6 +40,18 @@
 	}
 }
 
+// registerTraffic adds the counters of a mesh node to a set of metrics.
+func registerTraffic(set *metrics.Set, node *mesh.Node) {
+	for name, value := range map[string]func(mesh.Traffic) uint64{
+		"bluebellwind_mesh_sent_datagrams_total":     func(t mesh.Traffic) uint64 { return t.SentDatagrams },
+		"bluebellwind_mesh_sent_bytes_total":         func(t mesh.Traffic) uint64 { return t.SentBytes },
+		"bluebellwind_mesh_received_datagrams_total": func(t mesh.Traffic) uint64 { return t.ReceivedDatagrams },
+		"bluebellwind_mesh_received_bytes_total":     func(t mesh.Traffic) uint64 { return t.ReceivedBytes },
+	} {
+		set.NewGauge(name, func() float64 { return float64(value(node.Traffic())) })
+	}
+}
+
 // limitMemory configures the garbage collector so that the process stays within
 // the memory of its instance. At 0 megabytes it sets no limit.
 func limitMemory(megabytes int) {
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	registerTraffic(agent.Metrics(), meshNode)
 	if closeMetrics, err := serveMetrics(settings.Metrics, agent.Metrics()); err != nil {
 		logger.Warn().Str("event", "metrics_unavailable").Str("cause", err.Error()).Msg("")
 	} else {
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -61,6 +61,8 @@
 	mapSwitch  *groupmap.Switch
 	popularity popularity
 	dropped    droppedPlans
+	// switchTimes is about the last switch that this agent started.
+	switchTimes switchTimes
 	// shape and engineConfig are zero until readShape has read them.
 	shape        groupmap.Shape
 	engineConfig *ingress.Engine
@@ -192,6 +194,8 @@
 	l.mapSwitch.BlockHold(!l.mayHold(now))
 	minVersion := uint64(a.options.Uptime().Milliseconds())
 	orders := l.mapSwitch.Tick(now, minVersion)
+	l.noteSwitchOrders(orders)
+	l.noteSwitchStage(now)
 	sends := l.orderSenders(ctx, orders, now)
 	silent := l.silentRanksToRead(now)
 	a.mu.Unlock()
--- a/rankagent/metrics.go
+++ b/rankagent/metrics.go
@@ -15,6 +15,12 @@
 	// ordersRepeated counts the orders to prepare a map that were repeated because the
 	// local server did not answer.
 	ordersRepeated *metrics.Counter
+	// preparesRepeated counts the orders to prepare a map that this agent sent again as
+	// the initiator, ordersForwarded those that it passed on as a relay, and
+	// ordersUnforwarded those that it could not pass on.
+	preparesRepeated, ordersForwarded, ordersUnforwarded *metrics.Counter
+	// switchSeconds is the time from the start of a switch until a rank uses the map.
+	switchSeconds *metrics.Histogram
 	// digestsSent counts the digests of the group that were sent to gateways.
 	digestsSent *metrics.Counter
 	// copiedBytes counts the bytes of experts that the switches started copy.
@@ -33,6 +39,10 @@
 		ordersRepeated: set.NewCounter("bluebellwind_rank_orders_repeated_total"),
 		copiedBytes:    set.NewCounter("bluebellwind_map_copied_bytes_total"),
 	}
+	m.preparesRepeated = set.NewCounter("bluebellwind_map_prepares_repeated_total")
+	m.ordersForwarded = set.NewCounter("bluebellwind_map_orders_forwarded_total")
+	m.ordersUnforwarded = set.NewCounter("bluebellwind_map_orders_unforwarded_total")
+	m.switchSeconds = set.NewHistogram("bluebellwind_map_switch_seconds")
 	m.digestsSent = set.NewCounter("bluebellwind_status_digests_sent_total")
 	set.NewGauge("bluebellwind_status_subscribers", func() float64 {
 		a.mu.Lock()
--- a/rankagent/planner.go
+++ b/rankagent/planner.go
@@ -189,6 +189,7 @@
 		return
 	}
 	l.startedMap = out.Map
+	l.beginSwitchTimes(out.Map.Version, time.Now())
 	l.agent.metrics.countPlan(planStarted)
 	l.agent.metrics.copiedBytes.AddInt64(int64(float64(out.Copies) * in.experts.MegabytesEach * 1e6))
 	l.agent.metrics.switches.Inc()
--- a/rankagent/relay.go
+++ b/rankagent/relay.go
@@ -63,7 +63,11 @@
 		sends = append(sends, a.orderPacketSender(message, peer))
 	}
 	a.mu.Unlock()
+	a.metrics.ordersForwarded.Add(len(sends))
+	a.metrics.ordersUnforwarded.Add(len(o.Forward) - len(sends))
 	sendPaced(ctx, sends, a.burstBytes())
+	a.log.Info().Str("event", "orders_forwarded").Str("group", o.Group).Uint64("version", o.Version).Int("ranks", len(sends)).
+		Int("unknown", len(o.Forward)-len(sends)).Int("bytes_each", len(o.Map)+len(o.Difference)).Msg("")
 }
 
 // orderPacketSender returns a function that sends an order to an agent and returns how
