Pace the datagrams of an instance to its link

Cause: an agent that passes an order to prepare a map on sends 12 of them, its status to 95 agents and digests to 13 gateways at the same moment, 35 KB and more over a link of 6 Mbit/s. A full link loses datagrams, here the last orders; they were repeated after 1.12 s, and meanwhile the whole group ran on a map for a demand that was gone. Class of fault: a burst that grows with the fleet, of which each sender bounds only its own kind of message.

The mesh, through which all datagrams of a process leave, now sends at 0.8 of the link's rate with bursts of 10 ms, orders first, counts and hello packets last, and drops the latter if too much waits. The pauses between maps in rankagent are gone; the bound that a test set on them is now one on all datagrams, in mesh.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -96,11 +96,13 @@
 		Self: mesh.Peer{
 			ID: settings.Name, Address: settings.Mesh, Role: mesh.Gateway, Zone: settings.Zone, Incarnation: incarnation,
 		},
-		Seeds:        settings.MeshSeeds(),
-		Handler:      packetHandler(directory, statuses, others, logger),
-		OnPeerChange: peerChangeHandler(directory, others, logger),
-		OnError:      logMeshError(logger),
-		OnPanic:      logPanic(logger),
+		Seeds:   settings.MeshSeeds(),
+		Handler: packetHandler(directory, statuses, others, logger),
+
+		LinkBytesPerSecond: settings.LinkMbps * bytesPerMegabit,
+		OnPeerChange:       peerChangeHandler(directory, others, logger),
+		OnError:            logMeshError(logger),
+		OnPanic:            logPanic(logger),
 	})
 	if err != nil {
 		return err
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -47,6 +47,7 @@
 		"bluebellwind_mesh_sent_bytes_total":         func(t mesh.Traffic) uint64 { return t.SentBytes },
 		"bluebellwind_mesh_received_datagrams_total": func(t mesh.Traffic) uint64 { return t.ReceivedDatagrams },
 		"bluebellwind_mesh_received_bytes_total":     func(t mesh.Traffic) uint64 { return t.ReceivedBytes },
+		"bluebellwind_mesh_dropped_datagrams_total":  func(t mesh.Traffic) uint64 { return t.DroppedDatagrams },
 	} {
 		set.NewGauge(name, func() float64 { return float64(value(node.Traffic())) })
 	}
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -55,8 +55,10 @@
 		},
 		Seeds:   settings.MeshSeeds(),
 		Handler: agent.Handle,
-		OnError: logMeshError(logger),
-		OnPanic: logPanic(logger),
+
+		LinkBytesPerSecond: settings.LinkMbps * bytesPerMegabit,
+		OnError:            logMeshError(logger),
+		OnPanic:            logPanic(logger),
 	})
 	if err != nil {
 		return err
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -48,6 +48,9 @@
 	// first.
 	Seeds   []string
 	Handler Handler
+	// LinkBytesPerSecond is the rate of the instance's link, which datagrams do not exceed;
+	// zero if it is not known.
+	LinkBytesPerSecond float64
 	// OnPeerChange is called for each peer that is discovered or has expired; it
 	// may be nil.
 	OnPeerChange func(p Peer, alive bool)
@@ -64,6 +67,8 @@
 	options Options
 	socket  *net.UDPConn
 	seeds   []netip.AddrPort
+	// pacer is nil if the rate of the link is not known.
+	pacer *pacer
 
 	mu    sync.Mutex
 	peers *PeerSet
@@ -73,17 +78,22 @@
 }
 
 // Traffic is what a node has sent and received, in datagrams and in bytes without the
-// headers of the network.
+// headers of the network. DroppedDatagrams were not sent because too many waited for the
+// link.
 type Traffic struct {
-	SentDatagrams, SentBytes, ReceivedDatagrams, ReceivedBytes uint64
+	SentDatagrams, SentBytes, ReceivedDatagrams, ReceivedBytes, DroppedDatagrams uint64
 }
 
 // Traffic returns what the node has sent and received since it was created.
 func (n *Node) Traffic() Traffic {
-	return Traffic{
+	t := Traffic{
 		SentDatagrams: n.sentDatagrams.Load(), SentBytes: n.sentBytes.Load(),
 		ReceivedDatagrams: n.receivedDatagrams.Load(), ReceivedBytes: n.receivedBytes.Load(),
 	}
+	if n.pacer != nil {
+		t.DroppedDatagrams = n.pacer.droppedCount()
+	}
+	return t
 }
 
 // Listen opens the socket at the address of o.Self and returns a Node. The Node
@@ -101,6 +111,9 @@
 		peers:   NewPeerSet(o.Self, peerLifetime),
 		rng:     rand.New(rand.NewPCG(o.Self.Incarnation, uint64(len(o.Self.ID)))),
 	}
+	if o.LinkBytesPerSecond > 0 {
+		n.pacer = newPacer(o.LinkBytesPerSecond, n.writeDatagram)
+	}
 	for _, text := range o.Seeds {
 		seed, err := netip.ParseAddrPort(text)
 		if err != nil {
@@ -125,6 +138,9 @@
 func (n *Node) Run(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() { _ = n.socket.Close() })()
 	go n.runHellos(ctx)
+	if n.pacer != nil {
+		go n.pacer.run(ctx)
+	}
 	buffer := make([]byte, maxDatagram)
 	for {
 		size, from, err := n.socket.ReadFromUDPAddrPort(buffer)
@@ -169,11 +185,11 @@
 	payload := n.encode(packet)
 	for _, seed := range n.seeds {
 		if !knownAddresses[seed.String()] {
-			n.sendDatagram(payload, seed)
+			n.sendDatagram(payload, seed, bulk)
 		}
 	}
 	for _, p := range targets {
-		n.sendToPeer(payload, p)
+		n.sendToPeer(payload, p, bulk)
 	}
 }
 
@@ -204,7 +220,7 @@
 	discovered, reply := n.updatePeers(sender, packet.Peers, now)
 	for _, p := range discovered {
 		n.notifyPeerChange(p, true)
-		n.sendToPeer(n.encode(reply), p)
+		n.sendToPeer(n.encode(reply), p, regular)
 	}
 	n.options.Handler(sender, packet)
 }
@@ -253,12 +269,24 @@
 }
 
 // Send sends packet to each of the given peers, and sets its From field to this
-// process. A datagram that cannot be sent is dropped and reported to OnError.
+// process. A datagram waits while the link is full. One that cannot be sent is dropped and
+// reported to OnError.
 func (n *Node) Send(packet *meshpb.Packet, to ...Peer) {
 	payload := n.encode(packet)
+	urgency := priorityOf(packet)
 	for _, p := range to {
-		n.sendToPeer(payload, p)
+		n.sendToPeer(payload, p, urgency)
+	}
+}
+
+func priorityOf(packet *meshpb.Packet) priority {
+	switch {
+	case packet.Order != nil:
+		return urgent
+	case packet.Popularity != nil:
+		return bulk
 	}
+	return regular
 }
 
 // encode sets the sender of packet to this process and marshals it.
@@ -274,16 +302,24 @@
 	return payload
 }
 
-func (n *Node) sendToPeer(payload []byte, to Peer) {
+func (n *Node) sendToPeer(payload []byte, to Peer, urgency priority) {
 	address, err := netip.ParseAddrPort(to.Address)
 	if err != nil {
 		n.options.OnError(fmt.Errorf("mesh: address of peer %s: %w", to.ID, err))
 		return
 	}
-	n.sendDatagram(payload, address)
+	n.sendDatagram(payload, address, urgency)
+}
+
+func (n *Node) sendDatagram(payload []byte, to netip.AddrPort, urgency priority) {
+	if n.pacer == nil {
+		n.writeDatagram(payload, to)
+		return
+	}
+	n.pacer.Send(datagram{payload, to}, urgency, time.Now())
 }
 
-func (n *Node) sendDatagram(payload []byte, to netip.AddrPort) {
+func (n *Node) writeDatagram(payload []byte, to netip.AddrPort) {
 	n.sentDatagrams.Add(1)
 	n.sentBytes.Add(uint64(len(payload)))
 	if _, err := n.socket.WriteToUDPAddrPort(payload, to); err != nil {
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -29,11 +29,6 @@
 	planPeriod = 150 * time.Millisecond
 	// settlePeriod is the time after a switch in which no map is planned.
 	settlePeriod = 50 * time.Millisecond
-	// maxBurstBytes is the greatest number of bytes of maps after which the leader
-	// pauses, so that orders do not overrun the link of a small instance, and
-	// burstLinkShare the share of the link that they may take.
-	maxBurstBytes  = 24 << 10
-	burstLinkShare = 0.5
 	// A map is sent again after minPrepareResendInterval and prepareResendPerRank for
 	// each rank, because the maps of a large group leave one after the other.
 	minPrepareResendInterval = 350 * time.Millisecond
@@ -199,38 +194,14 @@
 	sends := l.orderSenders(ctx, orders, now)
 	silent := l.silentRanksToRead(now)
 	a.mu.Unlock()
-	sendPaced(ctx, sends, a.burstBytes())
+	for _, send := range sends {
+		send()
+	}
 	for rank, server := range silent {
 		go l.readRemote(ctx, rank, server)
 	}
 }
 
-// burstBytes returns the number of bytes of maps that may leave in one leaderPeriod.
-func (a *Agent) burstBytes() int {
-	if a.options.LinkBytesPerSecond == 0 {
-		return maxBurstBytes
-	}
-	return min(maxBurstBytes, int(burstLinkShare*a.options.LinkBytesPerSecond*leaderPeriod.Seconds()))
-}
-
-// sendPaced sends orders. It pauses for leaderPeriod after each burstBytes, so
-// that the link can transmit them.
-func sendPaced(ctx context.Context, sends []func() int, burstBytes int) {
-	bytes := 0
-	for _, send := range sends {
-		bytes += send()
-		if bytes < burstBytes {
-			continue
-		}
-		bytes = 0
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(leaderPeriod):
-		}
-	}
-}
-
 // silentRanksToRead returns the servers, by rank, whose agents are silent, or keep a
 // hold waiting, and which are due for a direct read. There are none once the switch has settled.
 // Until then, a rank may hold a pass without its silent agent having reported
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if len(o.Forward) > 0 {
-		go a.forwardOrder(context.Background(), o)
+		go a.forwardOrder(o)
 	}
 	order := groupmap.Order{
 		Rank: int(o.Rank), Kind: groupmap.OrderKind(o.Kind), Epoch: o.Epoch, Version: o.Version, Step: o.Step,
--- a/rankagent/relay.go
+++ b/rankagent/relay.go
@@ -1,7 +1,6 @@
 package rankagent
 
 import (
-	"context"
 	"slices"
 
 	"bluebellwind.example/groupmap"
@@ -48,8 +47,8 @@
 
 // forwardOrder passes an order on to the agents of the ranks that it names, as far as
 // they are known.
-func (a *Agent) forwardOrder(ctx context.Context, o *meshpb.RankOrder) {
-	var sends []func() int
+func (a *Agent) forwardOrder(o *meshpb.RankOrder) {
+	var sends []func()
 	a.mu.Lock()
 	for _, rank := range o.Forward {
 		peer, known := a.leader.peers[int(rank)]
@@ -65,16 +64,14 @@
 	a.mu.Unlock()
 	a.metrics.ordersForwarded.Add(len(sends))
 	a.metrics.ordersUnforwarded.Add(len(o.Forward) - len(sends))
-	sendPaced(ctx, sends, a.burstBytes())
+	for _, send := range sends {
+		send()
+	}
 	a.log.Info().Str("event", "orders_forwarded").Str("group", o.Group).Uint64("version", o.Version).Int("ranks", len(sends)).
 		Int("unknown", len(o.Forward)-len(sends)).Int("bytes_each", len(o.Map)+len(o.Difference)).Msg("")
 }
 
-// orderPacketSender returns a function that sends an order to an agent and returns how
-// many bytes of map data it sent.
-func (a *Agent) orderPacketSender(message *meshpb.RankOrder, to mesh.Peer) func() int {
-	return func() int {
-		a.mesh.Send(&meshpb.Packet{Order: message}, to)
-		return len(message.Map) + len(message.Difference)
-	}
+// orderPacketSender returns a function that sends an order to an agent.
+func (a *Agent) orderPacketSender(message *meshpb.RankOrder, to mesh.Peer) func() {
+	return func() { a.mesh.Send(&meshpb.Packet{Order: message}, to) }
 }
--- a/rankagent/sending.go
+++ b/rankagent/sending.go
@@ -13,12 +13,11 @@
 // group stands still.
 const directOrderDelay = 100 * time.Millisecond
 
-// orderSenders returns functions that send the orders. Each returns how many bytes of
-// map data it sent over the mesh. In a large group the agents of candidates pass maps
+// orderSenders returns functions that send the orders. In a large group the agents of candidates pass maps
 // on to the others; agents that lack the map in use get the whole new one apart from
 // those that need only the difference.
-func (l *leader) orderSenders(ctx context.Context, orders []groupmap.Order, now time.Time) []func() int {
-	var sends []func() int
+func (l *leader) orderSenders(ctx context.Context, orders []groupmap.Order, now time.Time) []func() {
+	var sends []func()
 	var forKnowing, forLacking []groupmap.Order
 	for _, o := range orders {
 		switch {
@@ -63,16 +62,13 @@
 }
 
 // directSender returns a function that sends an order to the server of its rank.
-func (l *leader) directSender(ctx context.Context, o groupmap.Order) func() int {
+func (l *leader) directSender(ctx context.Context, o groupmap.Order) func() {
 	a := l.agent
 	engine := a.engine
 	if o.Rank != l.group.Rank {
 		engine = a.options.Dial(l.servers[o.Rank])
 	}
-	return func() int {
-		go a.executeOrder(ctx, engine, o)
-		return 0
-	}
+	return func() { go a.executeOrder(ctx, engine, o) }
 }
 
 // confirm records the answer of another rank to an order. Reports of servers to other
--- a/rankagent/switchlog.go
+++ b/rankagent/switchlog.go
@@ -55,7 +55,7 @@
 	setOnce(&t.preparedAt, p.Prepared == l.group.Size)
 	setOnce(&t.heldAt, p.Held)
 	setOnce(&t.armedAt, p.Armed == l.group.Size)
-	if !p.Switched && l.mapSwitch.Unfinished() {
+	if !p.Switched && (l.mapSwitch.Unfinished() || p.Armed > 0) {
 		return
 	}
 	l.agent.log.Info().Str("event", "map_switched").Str("group", l.group.Name).Uint64("version", t.version).
