Repeat an order to prepare a map soon if its receipt is not confirmed

Datagrams are lost now and then on any link, and with 96 ranks a loss of 1 in 100 costs most switches one of their orders. It was repeated after 0.35 s and 8 ms a rank, 1.12 s at 96 ranks, because the agent that plans could not tell a lost order from a rank that copies. Agents now confirm the receipt to the agent of rank 0; without it the order is repeated after 80 ms and twice the time of its transmission, then at doubled intervals. The repetition is the difference until 0.3 s have passed. An agent does not carry out a repetition that its server would reject.

TestLostOrderToPrepareIsRepeatedSoon fails with the former interval.

--- a/groupmap/switch_test.go
+++ b/groupmap/switch_test.go
@@ -101,3 +101,32 @@
 	assert.Assert(t, sim.switches > 0)
 	assert.Equal(t, sim.heldPassAttempts, 0)
 }
+
+// Guards against a group of 96 ranks that goes on with an old map for more than a second
+// because one of 96 orders to prepare the new one was lost.
+func TestLostOrderToPrepareIsRepeatedSoon(t *testing.T) {
+	const ranks, lost = 96, 93
+	now := time.Unix(1000, 0)
+	s := groupmap.NewSwitch(ranks, true, groupmap.SwitchTiming{PrepareResendInterval: 1100 * time.Millisecond})
+	for rank := range ranks {
+		s.Observe(rank, groupmap.RankState{Epoch: 1, Open: true, Step: 1})
+	}
+	m := groupmap.InitialMap(groupmap.Shape{Sets: 1, Ranks: ranks, Experts: ranks})
+	m.Version = 5
+	assert.Assert(t, s.Start(m, now))
+	assert.Equal(t, len(s.Tick(now, 1)), ranks)
+	for rank := range ranks {
+		if rank != lost {
+			s.NoteReceipt(rank, 1, 5)
+		}
+	}
+	var repeated []groupmap.Order
+	for range 30 {
+		now = now.Add(10 * time.Millisecond)
+		repeated = append(repeated, s.Tick(now, 1)...)
+	}
+	assert.Assert(t, len(repeated) > 0, "the lost order was not repeated within 0.3 s")
+	for _, o := range repeated {
+		assert.Equal(t, o.Rank, lost, "an order that has arrived was repeated")
+	}
+}
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -104,6 +104,8 @@
 	countsSentAt time.Time
 	// recentMaps are the maps of recent orders, to which later differences apply.
 	recentMaps map[mapKey]*groupmap.Map
+	// lastPrepare is about the latest order to prepare a map.
+	lastPrepare prepareAttempt
 	// stopping is set once the agent was told to stop, leaving once it has decided that
 	// its group does not need it any more.
 	stopping, leaving bool
@@ -367,6 +369,9 @@
 	if o := packet.GetOrder(); o != nil {
 		a.handleOrder(o)
 	}
+	if r := packet.GetOrderReceipt(); r != nil {
+		a.handleReceipt(r)
+	}
 	if p := packet.GetPopularity(); p != nil {
 		a.handlePopularity(p)
 	}
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -28,6 +28,9 @@
 			return
 		}
 		order.Map = m
+		if !a.beginPrepare(o) {
+			return
+		}
 	}
 	go a.executeOrder(context.Background(), a.engine, order)
 }
@@ -113,6 +116,9 @@
 		err = a.orderOnce(ctx, engine, o, orderTimeout)
 	}
 	a.metrics.countOrder(o.Kind.String(), err)
+	if engine == a.engine && o.Kind == groupmap.Prepare {
+		a.endPrepare(o, err)
+	}
 	entry := a.log.Info().Str("event", "order").Str("kind", o.Kind.String()).Int("rank", o.Rank).
 		Uint64("epoch", o.Epoch).Uint64("version", o.Version).Uint64("step", o.Step)
 	if err != nil {
--- a/rankagent/planner.go
+++ b/rankagent/planner.go
@@ -184,6 +184,7 @@
 	}
 	out.Map.Version = l.mapSwitch.NextVersion(uint64(l.agent.options.Uptime().Milliseconds()))
 	l.mapSwitch.SetPassDuration(l.agent.passTimer.meanDuration)
+	l.mapSwitch.SetReceiptTimeout(l.receiptTimeout(len(out.Map.AppendDifference(nil, in.current))))
 	if !l.mapSwitch.Start(out.Map, time.Now()) {
 		l.agent.metrics.countPlan(planOutdated)
 		return
--- a/rankagent/sending.go
+++ b/rankagent/sending.go
@@ -13,9 +13,14 @@
 // group stands still.
 const directOrderDelay = 100 * time.Millisecond
 
-// orderSenders returns functions that send the orders. In a large group the agents of candidates pass maps
-// on to the others; agents that lack the map in use get the whole new one apart from
-// those that need only the difference.
+// wholeMapDelay is how long an order to prepare a map may go without effect before the whole
+// map is sent: repetitions are mostly of lost datagrams, but the agent may lack the map to
+// which the difference applies.
+const wholeMapDelay = 300 * time.Millisecond
+
+// orderSenders returns functions that send the orders. In a large group the agents of
+// candidates pass maps on to the others; agents that lack the map in use get the whole new
+// one apart from those that need only the difference.
 func (l *leader) orderSenders(ctx context.Context, orders []groupmap.Order, now time.Time) []func() {
 	var sends []func()
 	var forKnowing, forLacking []groupmap.Order
@@ -81,6 +86,9 @@
 	}
 	now := time.Now()
 	a.leader.presence.reachedAt[o.Rank] = now
+	if o.Kind == groupmap.Prepare {
+		a.leader.mapSwitch.NoteReceipt(o.Rank, o.Epoch, o.Version)
+	}
 	if o.Kind != groupmap.Prepare { // That has only begun.
 		a.leader.presence.knownAt[o.Rank] = now
 		a.leader.mapSwitch.Confirm(o)
@@ -90,8 +98,8 @@
 
 // orderMessage returns the message that carries an order to the agent of its rank, and
 // through it to the forward ranks. The map in it is the difference from the map in use,
-// or whole if the agents lack that, if the order had no effect before or if the
-// difference is empty or longer.
+// or whole if the agents lack that, if the order has had no effect for wholeMapDelay or if
+// the difference is empty or longer.
 func (l *leader) orderMessage(r relayedOrder) *meshpb.RankOrder {
 	o := r.order
 	message := &meshpb.RankOrder{
@@ -102,7 +110,7 @@
 		return message
 	}
 	encoded := o.Map.AppendBinary(nil)
-	if l.knowsBase(o) && !o.Resent {
+	if l.knowsBase(o) && o.Unconfirmed < wholeMapDelay {
 		message.Difference = o.Map.AppendDifference(nil, l.currentMap)
 		message.Base = l.currentMap.Version
 	}
