Send hello packets to new peers last, and describe the pacing of datagrams

When all processes start, each sends one to each other: 290 of 1.5 KB, most of a second of a link of 6 Mbit/s. They are counted as bulk like the periodic ones.

--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -5,6 +5,7 @@
 //
 // Each UDP datagram carries one packet with one or more messages, and each message is
 // superseded by the next one of its kind. A lost datagram therefore costs one period,
-// and an unreachable peer delays nobody. Processes discover each other by gossip,
+// and an unreachable peer delays nobody. Datagrams leave at the rate of the instance's
+// link, orders first, since a full link loses them. Processes discover each other by gossip,
 // starting from a few seed addresses. Nothing is stored.
 package mesh
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -220,7 +220,7 @@
 	discovered, reply := n.updatePeers(sender, packet.Peers, now)
 	for _, p := range discovered {
 		n.notifyPeerChange(p, true)
-		n.sendToPeer(n.encode(reply), p, regular)
+		n.sendToPeer(n.encode(reply), p, bulk)
 	}
 	n.options.Handler(sender, packet)
 }
--- a/mesh/pacer.go
+++ b/mesh/pacer.go
@@ -32,7 +32,8 @@
 	urgent priority = iota
 	// regular is for statuses and all else that is not bulk.
 	regular
-	// bulk is for what is sent continuously and of which single messages may be late.
+	// bulk is for what is sent continuously and of which single messages may be late: counts
+	// and hello packets. When all processes start, each answers all others.
 	bulk
 
 	priorities
