Plan maps of large groups with a tenth of the processor time

It now looks at the ranks that a move touches and the busiest of the others, and the skew of a map is computed without a balancer.

Plans are the same but for rounding; TestObjectiveOfAMoveIsThatOfAllRanks compares the gains with a naive sum.

--- a/groupmap/plan.go
+++ b/groupmap/plan.go
@@ -1,6 +1,7 @@
 package groupmap
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -45,11 +46,42 @@
 func Skew(m *Map, d Demand, s Shape) float64 {
 	sum := 0.0
 	for i := range s.Sets {
-		sum += newSetBalancer(m.Experts[i], d.Load[i], d.TokenTimes, s).skew() / float64(s.Sets)
+		sum += skewOfSet(m.Experts[i], d.Load[i], d.TokenTimes) / float64(s.Sets)
 	}
 	return sum
 }
 
+// skewOfSet is Skew of one set. It does without a setBalancer, because popularity is looked
+// at several times a second.
+func skewOfSet(expertsByRank [][]uint16, expertLoad, tokenTimes []float64) float64 {
+	replicas := make([]float64, len(expertLoad))
+	for _, experts := range expertsByRank {
+		for _, e := range experts {
+			replicas[e]++
+		}
+	}
+	var longest, total, speed float64
+	for r, experts := range expertsByRank {
+		tokenTime := 1.0
+		if tokenTimes != nil {
+			tokenTime = tokenTimes[r]
+		}
+		load := 0.0
+		for _, e := range experts {
+			load += expertLoad[e] / replicas[e]
+		}
+		longest = max(longest, load*tokenTime)
+		speed += 1 / tokenTime
+	}
+	for _, l := range expertLoad {
+		total += l
+	}
+	if total == 0 {
+		return 1
+	}
+	return longest * speed / total
+}
+
 // Plan returns an improved map for the demand. current must be valid for s; the
 // version of the new map is that of current. Plan is a greedy search: each step makes
 // the move that lowers the objective of its set most for each expert copied.
@@ -111,12 +143,27 @@
 	maxAllCopiesPerRank int
 	// ranksByExpert lists the ranks that hold each expert.
 	ranksByExpert [][]int
-	// savedRankTime is a buffer in which evaluateMove keeps rankTime.
-	savedRankTime []float64
+	// ranksByTime lists the ranks by descending rankTime, fourthPowers is the sum of the
+	// fourth powers of their times divided by balancedTime, and currentObjective is the
+	// objective, all as of the last move that was made.
+	ranksByTime      []int
+	fourthPowers     float64
+	currentObjective float64
+	// touched holds the ranks whose load changed since beginTouch, and touchedIn the
+	// generation in which that of each rank changed last.
+	touched    []touchedRank
+	touchedIn  []int
+	generation int
 	// cachedMove is the result of bestMove. It is valid until the set changes.
 	cachedMove *move
 }
 
+// touchedRank is a rank whose load has changed, and its time before.
+type touchedRank struct {
+	rank       int
+	timeBefore float64
+}
+
 // move gives an expert to toRank. If dropped is not negative, toRank gives up
 // that expert. If fromRank is not negative, that rank gives up expert;
 // otherwise expert gains a replica. If toRank is negative, fromRank only gives up
@@ -151,7 +198,8 @@
 		maxAllCopiesPerRank: math.MaxInt,
 		allCopiesToRank:     make([]int, s.Ranks),
 		ranksByExpert:       make([][]int, s.Experts),
-		savedRankTime:       make([]float64, s.Ranks),
+		ranksByTime:         make([]int, s.Ranks),
+		touchedIn:           make([]int, s.Ranks),
 	}
 	for r, experts := range expertsByRank {
 		for _, e := range experts {
@@ -172,11 +220,44 @@
 		speed += 1 / t
 	}
 	b.balancedTime = total / speed
+	for r := range b.ranksByTime {
+		b.ranksByTime[r] = r
+	}
+	b.noteMoved()
 	return b
 }
 
 // addLoad adds a load, which may be negative, to a rank.
-func (b *setBalancer) addLoad(rank int, load float64) { b.rankTime[rank] += load * b.tokenTimes[rank] }
+func (b *setBalancer) addLoad(rank int, load float64) {
+	if b.touchedIn[rank] != b.generation {
+		b.touchedIn[rank] = b.generation
+		b.touched = append(b.touched, touchedRank{rank, b.rankTime[rank]})
+	}
+	b.rankTime[rank] += load * b.tokenTimes[rank]
+}
+
+// beginTouch forgets which ranks' loads have changed.
+func (b *setBalancer) beginTouch() {
+	b.generation++
+	b.touched = b.touched[:0]
+}
+
+// noteMoved updates what is derived from rankTime.
+func (b *setBalancer) noteMoved() {
+	slices.SortFunc(b.ranksByTime, func(r, s int) int { return cmp.Compare(b.rankTime[s], b.rankTime[r]) })
+	b.fourthPowers = 0
+	for _, t := range b.rankTime {
+		b.fourthPowers += b.fourthPower(t)
+	}
+	b.beginTouch()
+	b.currentObjective = b.objective()
+}
+
+// fourthPower returns the fourth power of a time divided by balancedTime.
+func (b *setBalancer) fourthPower(t float64) float64 {
+	x := t / b.balancedTime
+	return x * x * x * x
+}
 
 // skew returns the time of the slowest rank divided by balancedTime.
 func (b *setBalancer) skew() float64 {
@@ -254,15 +335,16 @@
 // is measured on the objective rather than on the skew, so that a move also
 // gains if it relieves the busiest rank and leaves another rank as busy.
 func (b *setBalancer) evaluateMove(best *move, m move) {
-	before := b.objective()
-	copy(b.savedRankTime, b.rankTime)
+	b.beginTouch()
 	savedReplicas := [2]int{b.replicas[m.expert], 0}
 	if m.dropped >= 0 {
 		savedReplicas[1] = b.replicas[m.dropped]
 	}
 	b.shiftLoad(m)
-	m.gain = before - b.objective()
-	copy(b.rankTime, b.savedRankTime)
+	m.gain = b.currentObjective - b.objective()
+	for _, t := range b.touched {
+		b.rankTime[t.rank] = t.timeBefore
+	}
 	b.replicas[m.expert] = savedReplicas[0]
 	if m.dropped >= 0 {
 		b.replicas[m.dropped] = savedReplicas[1]
@@ -274,16 +356,25 @@
 
 // objective returns the value that the search minimises: a weighted sum of the
 // greatest time of a rank and the fourth root of the mean fourth power of the times
-// of the ranks, both divided by balancedTime.
+// of the ranks, both divided by balancedTime. It looks only at the touched ranks and the
+// busiest of the others: a plan for 96 ranks evaluates a hundred thousand moves, on a small
+// share of a core.
 func (b *setBalancer) objective() float64 {
-	var sum, longest float64
-	for _, t := range b.rankTime {
-		x := t / b.balancedTime
-		sum += x * x * x * x
-		longest = max(longest, x)
+	sum, longest := b.fourthPowers, 0.0
+	for _, t := range b.touched {
+		now := b.rankTime[t.rank]
+		sum += b.fourthPower(now) - b.fourthPower(t.timeBefore)
+		longest = max(longest, now)
+	}
+	for _, r := range b.ranksByTime {
+		if b.touchedIn[r] != b.generation {
+			longest = max(longest, b.rankTime[r])
+			break
+		}
 	}
 	const longestWeight = 0.7
-	return longestWeight*longest + (1-longestWeight)*math.Sqrt(math.Sqrt(sum/float64(len(b.rankTime))))
+	norm := math.Sqrt(math.Sqrt(max(0, sum) / float64(len(b.rankTime))))
+	return longestWeight*longest/b.balancedTime + (1-longestWeight)*norm
 }
 
 // shiftLoad updates rankTime and replicas for m.
@@ -331,6 +422,7 @@
 // apply makes the move m.
 func (b *setBalancer) apply(m move) {
 	b.shiftLoad(m)
+	b.noteMoved()
 	b.cachedMove = nil
 	if m.toRank < 0 {
 		b.removeExpert(m.expert, m.fromRank)
