--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -100,11 +100,9 @@
 	// at the last read.
 	lastCounts  ExpertCounts
 	heldExperts HeldExperts
-	// countsSentAt is when the local counts were last sent. countsBase are the counts up to
-	// which they were, read at countsBaseAt.
-	countsSentAt, countsBaseAt time.Time
-	countsBase                 ExpertCounts
-	countsRelay                countsRelay
+	// countsSentAt is when the local counts were last sent.
+	countsSentAt time.Time
+	countsRelay  countsRelay
 	// recentMaps are the maps of recent orders, to which later differences apply.
 	recentMaps map[mapKey]*groupmap.Map
 	// lastPrepare is about the latest order to prepare a map.
--- a/rankagent/counts.go
+++ b/rankagent/counts.go
@@ -11,13 +11,9 @@
 	"bluebellwind.example/mesh/meshpb"
 )
 
-// maxCountsSpan is the longest span of choices in one message. Older choices would hide
-// that other experts have come into demand.
-const maxCountsSpan = 600 * time.Millisecond
-
 // reportCounts reads how often each expert was chosen and, if that is due, sends the
-// increase since the last message, or the last read if that was long ago, towards the
-// initiator's agent.
+// increase since the previous read towards the initiator's agent. Older choices would hide
+// that other experts have come into demand.
 func (a *Agent) reportCounts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -41,9 +37,6 @@
 	now := time.Now()
 	a.mu.Lock()
 	previous := a.lastCounts
-	if now.Sub(a.countsBaseAt) <= maxCountsSpan {
-		previous = a.countsBase
-	}
 	a.lastCounts, a.heldExperts = counts, held
 	message := newPopularity(report.Group, counts.Epoch, held, countsSince(previous, counts))
 	route := a.countsRoute(report.Group, proto.Size(message), now)
@@ -51,7 +44,6 @@
 	due := now.Sub(a.countsSentAt) >= route.period-countsPeriod/2
 	if due {
 		a.countsSentAt = nextCountsOrigin(now, a.countsSentAt, route.period, report.Group)
-		a.countsBase, a.countsBaseAt = counts, now
 		message = a.countsRelay.addTo(message)
 	}
 	a.mu.Unlock()
