--- a/groupmap/switch.go
+++ b/groupmap/switch.go
@@ -19,44 +19,6 @@
 	holdRank = 0
 )
 
-// SwitchTiming holds the timeouts of a Switch. Zero fields take the defaults.
-type SwitchTiming struct {
-	// ResendInterval is the time after which an order without effect is sent
-	// again. PrepareResendInterval replaces it for Prepare, which takes longer.
-	ResendInterval        time.Duration
-	PrepareResendInterval time.Duration
-	// ReceiptTimeout is the time after which a Prepare that its rank has not confirmed to
-	// have received, see NoteReceipt, is sent again for the first time. It doubles each
-	// time, up to PrepareResendInterval.
-	ReceiptTimeout time.Duration
-	// PrepareTimeout is the time after which a switch is abandoned if no rank is
-	// held or armed for it yet.
-	PrepareTimeout time.Duration
-	// RepairDelay is how long a held or armed group may be unable to complete a
-	// switch before the initiator repairs it: the group then switches to the map
-	// in use under a new version.
-	RepairDelay time.Duration
-}
-
-func (t SwitchTiming) withDefaults() SwitchTiming {
-	if t.ResendInterval == 0 {
-		t.ResendInterval = 60 * time.Millisecond
-	}
-	if t.PrepareResendInterval == 0 {
-		t.PrepareResendInterval = 350 * time.Millisecond
-	}
-	if t.ReceiptTimeout == 0 {
-		t.ReceiptTimeout = 150 * time.Millisecond
-	}
-	if t.PrepareTimeout == 0 {
-		t.PrepareTimeout = 6 * time.Second
-	}
-	if t.RepairDelay == 0 {
-		t.RepairDelay = 400 * time.Millisecond
-	}
-	return t
-}
-
 // Switch makes all ranks of one group change to a new map at the same pass. It
 // is a deterministic state machine that decides from the reported states of the
 // ranks, so that it needs no memory of earlier attempts. It is not safe for
@@ -106,15 +68,6 @@
 	holdDisabled, unanimityDisabled bool
 }
 
-// sentOrder records the last order to a rank, when it was sent first and last, and how
-// often it was sent again.
-type sentOrder struct {
-	kind                OrderKind
-	version, step       uint64
-	firstSentAt, sentAt time.Time
-	resends             int
-}
-
 // NewSwitch returns a Switch for a group of size ranks.
 func NewSwitch(size int, initiator bool, timing SwitchTiming) *Switch {
 	return &Switch{
@@ -193,17 +146,6 @@
 // process.
 func (s *Switch) NextVersion(minVersion uint64) uint64 { return max(s.highestVersion+1, minVersion) }
 
-// NoteReceipt records that a rank, or the agent beside it, has received a Prepare for the
-// given version. It says nothing about whether the rank carries it out.
-func (s *Switch) NoteReceipt(rank int, epoch, version uint64) {
-	if rank >= 0 && rank < len(s.receivedVersions) && epoch == s.epoch {
-		s.receivedVersions[rank] = max(s.receivedVersions[rank], version)
-	}
-}
-
-// SetReceiptTimeout sets the ReceiptTimeout of the next switches.
-func (s *Switch) SetReceiptTimeout(timeout time.Duration) { s.timing.ReceiptTimeout = timeout }
-
 // SetCurrentMap sets the map in use, which a repair prepares again.
 func (s *Switch) SetCurrentMap(m *Map) { s.currentMap = m }
 
@@ -404,37 +346,3 @@
 	}
 	return out
 }
-
-// appendOrder appends o to out unless the same order was sent less than its
-// resend interval ago.
-func (s *Switch) appendOrder(now time.Time, out []Order, o Order) []Order {
-	last := &s.lastOrders[o.Rank]
-	resent := last.kind == o.Kind && last.version == o.Version && last.step == o.Step
-	if resent && now.Sub(last.sentAt) < s.resendInterval(o, last.resends) {
-		return out
-	}
-	next := sentOrder{kind: o.Kind, version: o.Version, step: o.Step, firstSentAt: now, sentAt: now}
-	if resent {
-		next.firstSentAt, next.resends = last.firstSentAt, last.resends+1
-	}
-	*last = next
-	firstSentAt := next.firstSentAt
-	o.Epoch = s.epoch
-	o.Resent, o.Unconfirmed = resent, now.Sub(firstSentAt)
-	return append(out, o)
-}
-
-// maxReceiptDoublings bounds how often ReceiptTimeout doubles.
-const maxReceiptDoublings = 6
-
-// resendInterval returns the time after which an order without effect that was sent again
-// the given number of times is sent once more.
-func (s *Switch) resendInterval(o Order, resends int) time.Duration {
-	switch {
-	case o.Kind != Prepare:
-		return s.timing.ResendInterval
-	case s.receivedVersions[o.Rank] >= o.Version:
-		return s.timing.PrepareResendInterval
-	}
-	return min(s.timing.PrepareResendInterval, s.timing.ReceiptTimeout<<min(resends, maxReceiptDoublings))
-}
