--- a/groupmap/switch_test.go
+++ b/groupmap/switch_test.go
@@ -107,7 +107,11 @@
 func TestLostOrderToPrepareIsRepeatedSoon(t *testing.T) {
 	const ranks, lost = 96, 93
 	now := time.Unix(1000, 0)
-	s := groupmap.NewSwitch(ranks, true, groupmap.SwitchTiming{PrepareResendInterval: 1100 * time.Millisecond})
+	timing := groupmap.SwitchTiming{PrepareResendInterval: 1100 * time.Millisecond}
+	if os.Getenv("BBW_WITHOUT") == "receipts" {
+		timing.ReceiptTimeout = timing.PrepareResendInterval
+	}
+	s := groupmap.NewSwitch(ranks, true, timing)
 	for rank := range ranks {
 		s.Observe(rank, groupmap.RankState{Epoch: 1, Open: true, Step: 1})
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -282,6 +282,17 @@
 	}
 }
 
+// Flush waits until no datagram waits for the link, for at most the given timeout. A process
+// that exits calls it so that its last messages leave.
+func (n *Node) Flush(timeout time.Duration) {
+	if n.pacer == nil {
+		return
+	}
+	for deadline := time.Now().Add(timeout); n.pacer.waiting() && time.Now().Before(deadline); {
+		time.Sleep(minPause)
+	}
+}
+
 func priorityOf(packet *meshpb.Packet) priority {
 	switch {
 	case packet.Order != nil:
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -125,3 +125,32 @@
 		t.Fatal("the invalid datagram was not reported to OnError")
 	}
 }
+
+// Guards against a process that exits while its last messages, which say that it leaves, still
+// wait for the link.
+func TestFlushLetsTheLastMessagesLeave(t *testing.T) {
+	const linkBytesPerSecond, datagrams = 200_000, 100
+	address := freeAddress(t)
+	receiver := startMember(t, "receiver", address, mesh.Gateway)
+	sender, err := mesh.Listen(mesh.Options{
+		Self: mesh.Peer{ID: "sender", Address: freeAddress(t), Role: mesh.RankAgent}, Handler: func(mesh.Peer, *meshpb.Packet) {},
+		OnError: func(error) {}, LinkBytesPerSecond: linkBytesPerSecond,
+	})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	go sender.Run(ctx)
+	to := mesh.Peer{ID: "receiver", Address: address}
+	for i := range uint64(datagrams) {
+		sender.Send(&meshpb.Packet{Status: &meshpb.RankStatus{Step: i + 1}}, to)
+	}
+	sender.Flush(5 * time.Second)
+	stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		receiver.mu.Lock()
+		defer receiver.mu.Unlock()
+		if len(receiver.statusSteps) == datagrams {
+			return poll.Success()
+		}
+		return poll.Continue("%d of %d messages arrived", len(receiver.statusSteps), datagrams)
+	}, poll.WithTimeout(5*time.Second))
+}
--- a/mesh/pacer.go
+++ b/mesh/pacer.go
@@ -163,6 +163,13 @@
 	}
 }
 
+// waiting reports whether datagrams wait for the link.
+func (p *pacer) waiting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queued > 0
+}
+
 // droppedCount returns the number of datagrams dropped because too much was queued.
 func (p *pacer) droppedCount() uint64 {
 	p.mu.Lock()
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -115,6 +115,7 @@
 	go every(work, fastReportPeriod, a.readIfDue)
 	<-ctx.Done()
 	a.stop(work)
+	node.Flush(leaveFlushTimeout)
 	a.log.Info().Str("event", "stopped").Msg("")
 }
 
--- a/rankagent/fulllink_test.go
+++ b/rankagent/fulllink_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -80,9 +81,13 @@
 	t.Helper()
 	state := groupmap.RankState{Epoch: 1, Open: true, Step: 10}
 	agent := newFakeAgent("s", map[string]*fakeEngine{"s": newFakeEngine(rank, size, state)})
+	rate := link.bytesPerSecond
+	if os.Getenv("BBW_WITHOUT") == "pacing" {
+		rate = 0
+	}
 	node, err := mesh.Listen(mesh.Options{
 		Self:    mesh.Peer{ID: agentID(rank), Address: "127.0.0.1:0", Role: mesh.RankAgent, Incarnation: 1},
-		Handler: agent.Handle, OnError: func(error) {}, LinkBytesPerSecond: link.bytesPerSecond,
+		Handler: agent.Handle, OnError: func(error) {}, LinkBytesPerSecond: rate,
 	})
 	assert.NilError(t, err)
 	agent.mesh = node
--- a/rankagent/stop.go
+++ b/rankagent/stop.go
@@ -14,6 +14,8 @@
 	// leaveMessages is how many times an agent says that it leaves. It carries out
 	// the orders that are on their way to it meanwhile.
 	leaveMessages = 3
+	// leaveFlushTimeout bounds how long the last of these messages may wait for the link.
+	leaveFlushTimeout = 200 * time.Millisecond
 )
 
 // stop waits until the group does not need the agent, and tells the others that it
