--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -29,8 +29,8 @@
 	planPeriod = 150 * time.Millisecond
 	// settlePeriod is the time after a switch in which no map is planned.
 	settlePeriod = 50 * time.Millisecond
-	// A map is sent again after minPrepareResendInterval and prepareResendPerRank for
-	// each rank, because the maps of a large group leave one after the other.
+	// An order to prepare a map that a rank has received but not completed is sent again
+	// after minPrepareResendInterval and prepareResendPerRank for each rank.
 	minPrepareResendInterval = 350 * time.Millisecond
 	prepareResendPerRank     = 8 * time.Millisecond
 	// minSkewGain is the least reduction of the skew for which a switch is
