Name the rank that was prepared last, and drop counts of impossible ranks

A relay takes no counts of a rank beyond its group, of which a wrong sender could have it keep any number.

--- a/rankagent/countsrelay.go
+++ b/rankagent/countsrelay.go
@@ -51,7 +51,8 @@
 	switch {
 	case isInitiator:
 	case isCandidate(g.Rank, g.Size):
-		route.period = min(direct, a.relayedCountsPeriod(len(relays)+1, sumsSizeFactor*messageBytes)) // And this one.
+		senders := len(relays) + 1 // The other relays and this one.
+		route.period = min(direct, a.relayedCountsPeriod(senders, sumsSizeFactor*messageBytes))
 	default:
 		route.to = nearest[g.Rank%len(nearest)]
 	}
@@ -140,7 +141,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.report.Group
-	if p.Group != g.Name || p.Sets == 0 || len(p.Counts)%int(p.Sets) != 0 {
+	if p.Group != g.Name || int(p.Rank) >= g.Size || p.Sets == 0 || len(p.Counts)%int(p.Sets) != 0 {
 		return
 	}
 	if g.Rank != initiatorRank && RelaysStatuses(g.Size) {
--- a/rankagent/countsrelay_test.go
+++ b/rankagent/countsrelay_test.go
@@ -98,6 +98,7 @@
 	relay.handlePopularity(counts(14, 1, 1, 7, 0))
 	relay.handlePopularity(counts(15, 0, 100, 100, 100))
 	relay.handlePopularity(counts(15, 1, 100, 100))
+	relay.handlePopularity(counts(96, 1, 100, 100, 100)) // No such rank.
 	sum := relay.countsRelay.addTo(counts(12, 1, 1, 1, 1))
 	assert.DeepEqual(t, sum.Counts, []uint32{104, 16, 8})
 	assert.Equal(t, sum.Unit, uint32(1))
--- a/rankagent/switchlog.go
+++ b/rankagent/switchlog.go
@@ -14,8 +14,8 @@
 	// preparedAt, heldAt and armedAt are when all ranks were first seen prepared, when one
 	// was first seen held, and when all were first seen armed; zero until then.
 	preparedAt, heldAt, armedAt time.Time
-	// lastPrepared is a rank that was still unprepared when the last but one was seen
-	// prepared.
+	// lastPrepared is the lowest rank that was unprepared when all were last seen not to be
+	// prepared, or -1.
 	lastPrepared int
 	// repeatedPrepares is the number of orders to prepare that were sent again.
 	repeatedPrepares int
@@ -44,7 +44,7 @@
 		return
 	}
 	p := l.mapSwitch.Progress(t.version)
-	if p.Prepared < l.group.Size && p.Unprepared >= 0 {
+	if t.preparedAt.IsZero() && p.Unprepared >= 0 {
 		t.lastPrepared = p.Unprepared
 	}
 	setOnce := func(at *time.Time, reached bool) {
