--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,29 +1,46 @@
-// Command 1 runs the agents of two groups of eight model servers and lets two of the servers
-// crash three times. A server that starts again answers GET /bluebellwind/report as in the
-// example of PROTOCOL.md, without a group, until the platform has formed its group.
+// Command 1 runs two gateways before three plain servers, one of which spoils one answer in
+// twenty: the name of the header with its seal is damaged. A caller must not get such an
+// answer as a success.
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
 	"os"
+	"strconv"
+	"sync"
 	"time"
 
 	"bluebellwind.example/review/rig"
 )
 
 const (
-	agents  = 16
-	crashes = 3
-	// downTime is that of srv_crash in the site file, formTime its form_ms.
-	downTime = 4500 * time.Millisecond
-	formTime = 600 * time.Millisecond
-	// maxOwnExits and maxMachines are the limits of the rule Fault.
-	maxOwnExits = 3
-	minMachines = 2
+	// spoiledShare is the largest x of garble in the site file, whose largest share is 0.6;
+	// spoilingServers of the servers are a share of 0.33.
+	spoiledShare    = 0.05
+	spoilingServers = 1
+	gateways        = 2
+	servers         = 3
+	callers         = 12
+	runTime         = 20 * time.Second
+	work            = 15 * time.Millisecond
+	seal            = "X-Bluebellwind-Server-Seal"
+	attemptID       = "X-Bluebellwind-Attempt-Id"
 )
 
+// outcome counts what callers saw.
+type outcome struct {
+	mu       sync.Mutex
+	statuses map[string]int
+	unsealed int
+}
+
 func main() {
-	code, err := run(os.Getenv("TROUBLE") != "0", os.Getenv("KNOWN_GROUP") == "1", os.Getenv("RECORD"))
+	code, err := run(os.Getenv("TROUBLE") != "0", os.Getenv("RECORD"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		code = rig.ExitFailed
@@ -31,7 +48,7 @@
 	os.Exit(code)
 }
 
-func run(trouble, groupKnown bool, recordFile string) (int, error) {
+func run(trouble bool, recordFile string) (int, error) {
 	dir, err := os.MkdirTemp("", "bbw-review-1-")
 	if err != nil {
 		return rig.ExitFailed, err
@@ -46,83 +63,98 @@
 	if err != nil {
 		return rig.ExitFailed, err
 	}
+	for i := range servers {
+		s, err := rig.StartServer(record, fmt.Sprintf("i-%d", i), work)
+		if err != nil {
+			return rig.ExitFailed, err
+		}
+		if trouble && i < spoilingServers {
+			s.Trouble = spoil
+		}
+		store.Put("servers/"+s.ID, s.Entry("pledge-app", "zone-1", 6))
+	}
 	store.Put("op/config", map[string]any{
-		"version": 7, "routes": []any{map[string]any{
-			"name": "r", "host": "a.example", "prefix": "/draft/", "route_type": "streaming", "timeout_ms": 8000, "target_latency_ms": 400,
-			"priority": 1, "service": "llm", "max_attempts": 2, "sticky": true, "stream_resume": true, "gap_aim_ms": 120,
-		}}, "services": []any{rig.ModelService("llm")},
+		"version": 7, "routes": []any{
+			plainRoute("write", "/write/", "unsafe", 1),
+			plainRoute("read", "/read/", "safe", 2),
+		}, "services": []any{map[string]any{"name": "pledge-app", "health_path": "/health", "max_connections": 110}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{},
 	})
-	port, err := rig.FreePort()
+	addresses, stop, err := rig.StartGateways(record, dir, store, gateways)
+	defer stop()
 	if err != nil {
 		return rig.ExitFailed, err
 	}
-	var processes []*rig.Process
-	defer func() {
-		for _, p := range processes {
-			p.Stop()
-		}
-	}()
-	var groups []*rig.Group
-	for g := range 2 {
-		ids := make([]string, agents/2)
-		for i := range ids {
-			ids[i] = fmt.Sprintf("i-%d-%d", g, i)
-		}
-		group, err := rig.StartGroup(record, fmt.Sprintf("g0-%d", g), ids)
-		if err != nil {
-			return rig.ExitFailed, err
-		}
-		groups = append(groups, group)
-		for i, s := range group.Ranks {
-			settings := rig.Settings{
-				Name: fmt.Sprintf("side-%d-%d", g, i), IP: fmt.Sprintf("127.0.1.%d", 10+g*agents+i), Store: store.Address,
-				Seed: "127.0.1.10:1", MeshPort: port, Server: s.Address, Service: "llm",
+	seen := &outcome{statuses: make(map[string]int)}
+	var group sync.WaitGroup
+	end := time.Now().Add(runTime)
+	for k := range callers {
+		group.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				kind := []string{"write", "read"}[i%2]
+				call(record, seen, addresses[k%len(addresses)], kind, fmt.Sprintf("%s-%d-%d", kind, k, i))
+				time.Sleep(60 * time.Millisecond)
 			}
-			p, err := rig.StartProcess(record, dir, "rank-agent", settings.Name, settings.YAML(), true)
-			if err != nil {
-				return rig.ExitFailed, err
-			}
-			processes = append(processes, p)
-		}
+		})
 	}
-	time.Sleep(8 * time.Second)
-	for _, p := range processes {
-		if p.OwnExits() > 0 {
-			return rig.ExitFailed, fmt.Errorf("%s ended before the disruption", p.Name)
-		}
+	group.Wait()
+	for status, n := range seen.statuses {
+		record.Logf("callers saw %s: %d", status, n)
 	}
-	first := groups[0]
-	victims := []*rig.ModelServer{first.Ranks[2], first.Ranks[5]}
-	for range crashes {
-		if trouble {
-			first.Crash(victims...)
-		}
-		time.Sleep(downTime)
-		if trouble {
-			if err := first.Restart(formTime, groupKnown, victims...); err != nil {
-				return rig.ExitFailed, err
-			}
-		}
-		time.Sleep(5 * time.Second)
+	record.Logf("successes without the seal of a server: %d", seen.unsealed)
+	switch {
+	case seen.statuses["200"] == 0:
+		return rig.ExitFailed, fmt.Errorf("no request was served")
+	case seen.unsealed > 0:
+		return rig.ExitBroken, nil
+	}
+	return rig.ExitHeld, nil
+}
+
+func plainRoute(name, prefix, kind string, attempts int) map[string]any {
+	return map[string]any{
+		"name": name, "host": "pledge.example", "prefix": prefix, "route_type": kind, "timeout_ms": 800, "target_latency_ms": 150,
+		"priority": 2, "service": "pledge-app", "max_attempts": attempts,
 	}
-	machines := 0
-	for _, p := range processes {
-		if n := p.OwnExits(); n > 0 {
-			record.Logf("%s has ended by itself %d times", p.Name, n)
-			for _, line := range p.LogTail("panic:", 1) {
-				record.Logf("%s printed: %s", p.Name, line)
+}
+
+// spoil damages the header with the seal of some answers.
+func spoil(s *rig.Server, w http.ResponseWriter, r *http.Request) bool {
+	if rand.Float64() >= spoiledShare {
+		return false
+	}
+	attempt := r.Header.Get(attemptID)
+	s.Run(attempt)
+	time.Sleep(work)
+	body := rig.Body(attempt)
+	w.Header().Set("X-Bluebellwind-Serv%r-S%al", s.Seal(attempt))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body) // Fails only if the caller has left.
+	return true
+}
+
+// call sends one request on a new connection and notes its answer.
+func call(record *rig.Record, seen *outcome, address, kind, id string) {
+	status, answer := "no answer", (*http.Response)(nil)
+	if c, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+		record.Logf("caller sends %s", id)
+		fmt.Fprintf(c, "POST /%s/%s HTTP/1.1\r\nHost: pledge.example\r\n%s: %s\r\nX-Bluebellwind-Deadline-Remaining: 1500\r\nContent-Length: 2\r\n\r\nok",
+			kind, id, attemptID, id)
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			if _, err := io.ReadAll(resp.Body); err == nil {
+				answer, status = resp, strconv.Itoa(resp.StatusCode)
 			}
 		}
-		if p.OwnExits() >= maxOwnExits {
-			machines++
-		}
 	}
-	limit := max(minMachines, (len(processes)+9)/10)
-	record.Logf("machines whose process ended by itself %d times: %d of %d, limit %d", maxOwnExits, machines, len(processes), limit)
-	if machines >= limit {
-		return rig.ExitBroken, nil
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	seen.statuses[status]++
+	record.Logf("caller gets %s for %s", status, id)
+	if answer != nil && answer.StatusCode/100 == 2 && answer.Header.Get(seal) == "" {
+		seen.unsealed++
+		record.Logf("BROKEN: %s is a success without a seal; its header: %v", id, answer.Header)
 	}
-	return rig.ExitHeld, nil
 }
