--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -150,15 +150,15 @@
 	return out
 }
 
-// FreePort returns a port that is free for TCP and UDP on all loopback addresses.
+// FreePort returns a port that is free for TCP and UDP on 127.0.0.1.
 func FreePort() (int, error) {
 	for range 50 {
-		l, err := net.Listen("tcp4", "0.0.0.0:0")
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return 0, err
 		}
 		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenUDP("udp4", &net.UDPAddr{Port: port})
+		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
 		l.Close()
 		if err != nil {
 			continue
