gateway: do not pass on successes without a seal

Cause: ResponseMetadata.HasSeal was set and never read; an answer with the ID of the request was taken for that of the server. The record of the case shows the damaged name in what callers got, so the gateway did not lose the seal.

A success without a seal is now a failed attempt that may have run: sent again if the route allows it, else 502. The check stands before all ways of relaying and where a standby is chosen. Failures need no seal and are passed on.

Stand-ins of the tests that wrote successes without a seal write one now, so that they still reach what they check.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -26,7 +26,7 @@
 // another server could have answered.
 func TestCallerIsAnsweredBesideAServerThatSendsBytesWithoutEnd(t *testing.T) {
 	head := func(r *http.Request) string {
-		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Type: text/event-stream\r\n"
+		return "HTTP/1.1 200 OK\r\nSeal: s\r\nId: " + r.Header.Get("Id") + "\r\nContent-Type: text/event-stream\r\n"
 	}
 	cases := map[string]func(c net.Conn, r *http.Request){
 		"head":      func(c net.Conn, r *http.Request) { writeEndlessly(c, head(r)+"X-Filler: x\r\n", 0) },
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -65,7 +65,7 @@
 				h := newHarness(t)
 				h.addServer("a", func(c net.Conn, r *http.Request) {
 					id := r.Header.Get("Id")
-					text := fmt.Sprintf("HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+					text := fmt.Sprintf("HTTP/1.1 200 X\r\nSeal: s\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
 					_, _ = io.WriteString(c, text)
 					time.Sleep(delay)
 					if !split {
@@ -97,14 +97,14 @@
 // next request was read as that body, and text inside it as a response.
 func TestLateCopyOfAResponseToHeadIsNotFramedWrongly(t *testing.T) {
 	h := newHarness(t)
-	inner := "HTTP/1.1 200 X\r\nId: 2\r\nContent-Length: 5\r\n\r\nwrong"
+	inner := "HTTP/1.1 200 X\r\nSeal: s\r\nId: 2\r\nContent-Length: 5\r\n\r\nwrong"
 	h.addServer("a", func(c net.Conn, r *http.Request) {
 		if r.Method == http.MethodHead {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: 60\r\n\r\n")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nSeal: s\r\nId: 1\r\nContent-Length: 60\r\n\r\n")
 			return
 		}
-		head := fmt.Sprintf("HTTP/1.1 200 X\r\nId: 2\r\nContent-Length: %d\r\n\r\n", len(inner))
-		_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: %d\r\n\r\n", len(head))+head+inner)
+		head := fmt.Sprintf("HTTP/1.1 200 X\r\nSeal: s\r\nId: 2\r\nContent-Length: %d\r\n\r\n", len(inner))
+		_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 X\r\nSeal: s\r\nId: 1\r\nContent-Length: %d\r\n\r\n", len(head))+head+inner)
 	})
 	h.start()
 	caller := h.dialCaller()
@@ -242,7 +242,7 @@
 					t.Parallel()
 					h := newHarness(t)
 					h.addServer("a", func(c net.Conn, r *http.Request) {
-						_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nId: 1\r\n"+answer.header+"\r\n\r\n"+answer.body)
+						_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nSeal: s\r\nId: 1\r\n"+answer.header+"\r\n\r\n"+answer.body)
 						if reset {
 							time.Sleep(20 * time.Millisecond)
 							_ = c.(*net.TCPConn).SetLinger(0)
@@ -269,7 +269,7 @@
 				if path == "/stream/x" {
 					writeEvents(c, r, 1, 2, false)
 				} else {
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", 2*maxBufferedBytes)
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nSeal: s\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", 2*maxBufferedBytes)
 					_, _ = io.WriteString(c, strings.Repeat("x", maxBufferedBytes+1))
 				}
 				time.Sleep(100 * time.Millisecond)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -64,7 +64,7 @@
 func TestAnswerThatBreaksOffPromisesNothing(t *testing.T) {
 	h := newHarness(t)
 	h.addServer("a", func(c net.Conn, r *http.Request) {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\nhalf")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\nhalf")
 		c.Close()
 	})
 	h.start()
@@ -79,7 +79,7 @@
 		"500":     func(c net.Conn, r *http.Request) { writeResponse(c, r, 500, "no") },
 		"not run": func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "", "Not-Run: 1") },
 		"cut": func(c net.Conn, r *http.Request) {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: 9\r\n\r\nhal")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nSeal: s\r\nId: 1\r\nContent-Length: 9\r\n\r\nhal")
 			c.Close()
 		},
 		"silent": func(net.Conn, *http.Request) { time.Sleep(time.Second) },
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -109,6 +109,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_tries_failed_total{then=%q}", event)).Inc()
 }
 
+// countDefect counts a response that was not passed on to the caller.
+func (m *gatewayMetrics) countDefect(defect responseDefect) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellwind_defective_answers_total{defect=%q}", string(defect))).Inc()
+}
+
 // countBrokenOff counts a response that was cut after its header had been sent.
 // serverGivenUp says that its last server was silent but had not failed.
 func (m *gatewayMetrics) countBrokenOff(serverGivenUp bool) {
--- a/gateway/peakmemory_test.go
+++ b/gateway/peakmemory_test.go
@@ -31,7 +31,7 @@
 	requestBody, responseBody := strings.Repeat("q", 1<<20), bytes.Repeat([]byte("a"), 5<<20)
 	h.addServer("a", func(c net.Conn, r *http.Request) {
 		time.Sleep(500 * time.Millisecond)
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), len(responseBody))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nSeal: s\r\nId: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), len(responseBody))
 		_, _ = c.Write(responseBody)
 	})
 	h.start()
--- a/gateway/relaybench_test.go
+++ b/gateway/relaybench_test.go
@@ -17,7 +17,7 @@
 	h := newHarness(t)
 	const events = 500
 	h.addServer("a", func(c net.Conn, r *http.Request) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
 		for i := 1; i <= events; i++ {
 			ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -72,6 +72,10 @@
 			return outcomeFailed
 		}
 	}
+	if defect := defectOf(response.Status, metadata); defect != "" {
+		x.recordDefect(choice, defect)
+		return outcomeFailed
+	}
 	if saysNotRun(response.Status) && (mayHaveRunBefore || x.standbyMayHaveRun || x.standby != nil) {
 		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + ", and another may have run the request"
 		return outcomeFailed
@@ -89,6 +93,13 @@
 	return x.relayBuffered(choice, response, metadata)
 }
 
+// recordDefect records that a server has sent a response that must not reach the caller.
+func (x *exchange) recordDefect(choice *backends.Choice, defect responseDefect) {
+	x.failureCause = defect.String()
+	x.g.metrics.countDefect(defect)
+	x.g.directory.RecordFailure(choice.ID, false, time.Now())
+}
+
 // newUpstreamRequest returns the request to send to the selected server.
 func (x *exchange) newUpstreamRequest(choice *backends.Choice) *upstream.Request {
 	h := x.r.Header.Clone()
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -135,7 +135,7 @@
 // another server that had begun to answer was taken for an answer, or waited for.
 func TestSilentServerIsKeptUntilTheOtherHasAnEvent(t *testing.T) {
 	head := func(c net.Conn, r *http.Request, status, rest string) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\n%s", status, r.Header.Get("Id"), rest)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nSeal: s\r\nId: %s\r\n%s", status, r.Header.Get("Id"), rest)
 	}
 	others := map[string]func(net.Conn, *http.Request){
 		"closes after its header": func(c net.Conn, r *http.Request) {
@@ -180,7 +180,7 @@
 func TestBegunPlainAnswerIsNotJoinedWithAnother(t *testing.T) {
 	half := strings.Repeat("a", maxBufferedBytes+1000)
 	write := func(c net.Conn, r *http.Request, body string) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(body), body)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(body), body)
 	}
 	firsts := map[string]func(net.Conn, *http.Request){
 		"silent": func(c net.Conn, r *http.Request) {
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -24,7 +24,7 @@
 			h := newHarness(t)
 			body := strings.Repeat("x", size)
 			h.addServer("a", func(c net.Conn, r *http.Request) {
-				writePaused(c, fmt.Sprintf("HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", size, body), 50)
+				writePaused(c, fmt.Sprintf("HTTP/1.1 200 X\r\nSeal: s\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", size, body), 50)
 			})
 			h.start()
 			got := h.send("/once/x")
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -136,10 +136,13 @@
 
 // wantsAnswer reports whether the response is better than to wait for a silent server.
 func (x *exchange) wantsAnswer(response *upstream.Response) bool {
+	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
+	if defectOf(response.Status, metadata) != "" {
+		return false
+	}
 	if x.route.Repeat == ingress.Stream {
 		return response.Status == http.StatusOK
 	}
-	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	return !metadata.NotRun && response.Status < http.StatusInternalServerError
 }
 
@@ -170,6 +173,10 @@
 		x.recordServerRefusal(s.choice, s.response.Status, metadata)
 		return false
 	}
+	if defect := defectOf(s.response.Status, metadata); defect != "" {
+		x.recordDefect(s.choice, defect)
+		return true
+	}
 	x.failureCause = "the server returned status " + strconv.Itoa(s.response.Status)
 	if s.response.Status >= http.StatusInternalServerError {
 		x.g.directory.RecordServerError(s.choice.ID, time.Now())
