agent: check the ID of an answer before its refusal

Other operators report that callers were told "not run" for requests that ran, or that these ran twice, after a faulty server had written an earlier refusal once more on a kept connection.

Behind an agent this happens: it took any 429 or 503 of an engine for the refusal of the current attempt, whichever ID the answer had.

The ID is now checked first; an answer with another one, or from an engine with none, means "may have run", and the idle connections are closed.

Behind a gateway it does not happen: TestEarlierRefusalIsNotTakenForALaterOne passed from the start.

--- /dev/null
+++ b/gateway/refusal_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A server that writes the refusal of an earlier request once more on a kept connection must
+// not make the gateway take the next request for refused: that one runs.
+func TestEarlierRefusalIsNotTakenForALaterOne(t *testing.T) {
+	const between = 2 * time.Millisecond
+	copies := map[string]func(c net.Conn, refusal, answer string){
+		"before":      func(c net.Conn, refusal, answer string) { _, _ = io.WriteString(c, refusal+answer) },
+		"twice":       func(c net.Conn, refusal, answer string) { _, _ = io.WriteString(c, refusal+refusal+answer) },
+		"after":       func(c net.Conn, refusal, answer string) { _, _ = io.WriteString(c, answer+refusal) },
+		"and no more": func(c net.Conn, refusal, _ string) { _, _ = io.WriteString(c, refusal); c.Close() },
+		"in two parts": func(c net.Conn, refusal, answer string) {
+			_, _ = io.WriteString(c, refusal[:len(refusal)/2])
+			time.Sleep(between)
+			_, _ = io.WriteString(c, refusal[len(refusal)/2:]+answer)
+		},
+		"within its head, and the answer": func(c net.Conn, refusal, answer string) {
+			_, _ = io.WriteString(c, refusal[:len(refusal)/2]+answer)
+			c.Close()
+		},
+	}
+	for name, write := range copies {
+		for _, status := range []int{408, 421, 429, 503} {
+			for _, path := range []string{"/once/x", "/again/x", "/stream/x"} {
+				t.Run(fmt.Sprint(name, " ", status, path), func(t *testing.T) {
+					t.Parallel()
+					checkEarlierRefusal(t, status, path, write)
+				})
+			}
+		}
+	}
+}
+
+// checkEarlierRefusal sends requests of which a server refuses every second one, and writes
+// that refusal once more at the next.
+func checkEarlierRefusal(t *testing.T, status int, path string, write func(c net.Conn, refusal, answer string)) {
+	h := newHarness(t)
+	h.timeout = time.Second
+	var refusals, runs sync.Map // The last refusal of each connection; how often each request ran.
+	serve := func(c net.Conn, r *http.Request) {
+		id := r.Header.Get("Id")
+		refusal, refused := refusals.LoadAndDelete(c)
+		if !refused {
+			text := fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull", status, id)
+			refusals.Store(c, text)
+			_, _ = io.WriteString(c, text)
+			return
+		}
+		count, _ := runs.LoadOrStore(id, new(atomic.Int64))
+		count.(*atomic.Int64).Add(1)
+		body := "id: 1\ndata: " + id + "\n\n"
+		write(c, refusal.(string), fmt.Sprintf("HTTP/1.1 200 X\r\nId: %s\r\nSeal: a\r\n%s\r\nContent-Length: %d\r\n\r\n%s", id, eventStream, len(body), body))
+	}
+	h.addServer("a", serve)
+	h.start()
+	for i := range 12 {
+		id := fmt.Sprint(i)
+		got := h.send(path, "Id", id)
+		count, ran := runs.Load(id)
+		if !ran {
+			continue
+		}
+		assert.Assert(t, got.err != nil || !saysNotRun(got.status), "status %d of a request that ran", got.status)
+		assert.Assert(t, got.err != nil || got.status != 200 || strings.Contains(got.body, "data: "+id+"\n"), got.body)
+		assert.Assert(t, path != "/once/x" || count.(*atomic.Int64).Load() == 1, "it ran %v times", count)
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -68,7 +68,15 @@
 	if err != nil {
 		return nil, callError(err)
 	}
-	if err := b.check(res, s.GetAttemptId()); err != nil {
+	if err := b.checkID(res, s.GetAttemptId()); err != nil {
+		res.Body.Close()
+		b.client.CloseIdleConnections() // Another answer may follow on the connection.
+		return nil, err
+	}
+	if !b.groupMember {
+		return res, nil
+	}
+	if err := engineRefusal(res); err != nil {
 		res.Body.Close()
 		return nil, err
 	}
@@ -89,14 +97,10 @@
 	}
 }
 
-// check rejects a response that carries the ID of another attempt. From an engine
-// of a group, it also rejects a response without an ID or with an error status.
-func (b *backend) check(res *http.Response, attemptID string) error {
-	if b.groupMember {
-		if err := engineRefusal(res); err != nil {
-			return err
-		}
-	}
+// checkID rejects a response that carries the ID of another attempt and, from an engine of
+// a group, one without an ID. It comes before anything that the response says is believed:
+// a faulty server may write an earlier response once more.
+func (b *backend) checkID(res *http.Response, attemptID string) error {
 	responseID := res.Header.Get(requestIDHeader)
 	if responseID == attemptID || (responseID == "" && !b.groupMember) {
 		return nil
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -161,14 +161,15 @@
 	faults, process := e.beginRequest(id)
 	defer e.endRequest()
 	process.setHeader(w)
+	w.Header().Set(headerRequestID, id)
 	if faults.RefuseRequests {
 		http.Error(w, "the engine refuses all requests", http.StatusServiceUnavailable)
 		return
 	}
 	if faults.WrongRequestID {
 		id = "another-request"
+		w.Header().Set(headerRequestID, id)
 	}
-	w.Header().Set(headerRequestID, id)
 	if !process.wait(r, e.FirstTokenDelay) {
 		return
 	}
