gateway: say "not run" only on the word of the server

A server that answered a request which may run once with 408, 429 or 503 and without the header that says "not run" had its status passed on. The caller takes that for a promise and sends the request again.

Such a request now gets 502 without a seal.

TestStatusThatSaysNotRunNeedsTheWordOfTheServer failed before for each status, with small and with large answers, and passes now.

--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -45,6 +45,30 @@
 	}
 }
 
+// A server that ran a request and answered with a status that means "not run", without saying
+// that it has not run it, made the gateway tell the caller of a payment to pay again.
+func TestStatusThatSaysNotRunNeedsTheWordOfTheServer(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		for _, body := range []string{"full", large} {
+			t.Run(fmt.Sprint(status, " ", len(body)), func(t *testing.T) {
+				t.Parallel()
+				h := newHarness(t)
+				a := h.addServer("a", func(c net.Conn, r *http.Request) { writeResponse(c, r, status, body) })
+				h.start()
+				got := h.send("/once/x")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusBadGateway)
+				assert.Equal(t, got.header.Get("Seal"), "", "another status than that of the server")
+				assert.Equal(t, a.requestCount.Load(), int64(1))
+				if status < 500 { // Others are sent again first.
+					got = h.send("/again/x", "Id", "2")
+					assert.Equal(t, got.status, status, "a request that may run again gets the server's own status")
+				}
+			})
+		}
+	}
+}
+
 // checkEarlierRefusal sends requests of which a server refuses every second one, and writes
 // that refusal once more at the next.
 func checkEarlierRefusal(t *testing.T, status int, path string, write func(c net.Conn, refusal, answer string)) {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -80,6 +80,10 @@
 		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + ", and another may have run the request"
 		return outcomeFailed
 	}
+	if saysNotRun(response.Status) && !x.route.Repeatable() {
+		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + " and does not say that it has not run the request"
+		return outcomeFailed
+	}
 	if x.headerSent && response.Status != http.StatusOK {
 		x.failureCause = "the server did not resume the stream"
 		return outcomeFailed
