gateway: take a success that says "not run" for one that may have run

A 2xx with the header which says that the request has not run was believed, and a request that may run once went to another server (TWICE). A success with it contradicts itself, so the attempt may have run.

TestSuccessThatSaysNotRunMayHaveRun failed before (the second server ran the request) and passes now.

--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// A success that says that it has not run contradicts itself; the request was sent to another
+// server, although it may have run.
+func TestSuccessThatSaysNotRunMayHaveRun(t *testing.T) {
+	h := newHarness(t)
+	a, b := addFailoverServers(h,
+		func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok", "Not-Run: 1") },
+		func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
+	h.start()
+	got := h.send("/once/x")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, a.requestCount.Load()+b.requestCount.Load(), int64(1))
+}
+
 // checkEarlierRefusal sends requests of which a server refuses every second one, and writes
 // that refusal once more at the next.
 func checkEarlierRefusal(t *testing.T, status int, path string, write func(c net.Conn, refusal, answer string)) {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -61,6 +61,10 @@
 	x.attemptEvents, x.reusedConnection = 0, response.Reused
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	x.g.recordWithdrawal(choice, response.Status, metadata)
+	if defect := defectOf(response.Status, metadata); defect != "" {
+		x.recordDefect(choice, defect)
+		return outcomeFailed
+	}
 	if metadata.NotRun {
 		x.mayHaveRun = mayHaveRunBefore || x.standbyMayHaveRun
 		return x.handleServerRefusal(choice, response, metadata)
@@ -72,10 +76,6 @@
 			return outcomeFailed
 		}
 	}
-	if defect := defectOf(response.Status, metadata); defect != "" {
-		x.recordDefect(choice, defect)
-		return outcomeFailed
-	}
 	if saysNotRun(response.Status) && (mayHaveRunBefore || x.standbyMayHaveRun || x.standby != nil) {
 		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + ", and another may have run the request"
 		return outcomeFailed
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -169,14 +169,14 @@
 	defer s.response.Close()
 	metadata := x.g.headerCodec.ParseResponse(s.response.Status, s.response.Header)
 	x.g.recordWithdrawal(s.choice, s.response.Status, metadata)
-	if metadata.NotRun {
-		x.recordServerRefusal(s.choice, s.response.Status, metadata)
-		return false
-	}
 	if defect := defectOf(s.response.Status, metadata); defect != "" {
 		x.recordDefect(s.choice, defect)
 		return true
 	}
+	if metadata.NotRun {
+		x.recordServerRefusal(s.choice, s.response.Status, metadata)
+		return false
+	}
 	x.failureCause = "the server returned status " + strconv.Itoa(s.response.Status)
 	if s.response.Status >= http.StatusInternalServerError {
 		x.g.directory.RecordServerError(s.choice.ID, time.Now())
