gateway: keep a slow server when the other answers 408 or 429

A standby that answered 408 or 429 without saying "not run" counted as an answer, so the slow attempt was ended; the answer was then not passed on, since the slow server may have run the request, and the caller got 502.

Such an answer no longer ends the slow attempt. TestSlowServerIsKeptWhenTheOtherSaysNotRun failed before for both statuses.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -249,3 +249,26 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusBadGateway, h.logLines("1"))
 }
+
+// A slow server was given up for one whose answer could not be passed on, since it said "not
+// run" of a request that the slow one was running.
+func TestSlowServerIsKeptWhenTheOtherSaysNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.timeout = silenceTimeout
+			addFailoverServers(h,
+				func(c net.Conn, r *http.Request) {
+					time.Sleep(600 * time.Millisecond)
+					writeResponse(c, r, 200, "slow")
+				},
+				func(c net.Conn, r *http.Request) { writeResponse(c, r, status, "no") })
+			h.start()
+			got := h.send("/again/x")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, "slow")
+		})
+	}
+}
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -143,7 +143,7 @@
 	if x.route.Repeat == ingress.Stream {
 		return response.Status == http.StatusOK
 	}
-	return !metadata.NotRun && response.Status < http.StatusInternalServerError
+	return !metadata.NotRun && !saysNotRun(response.Status) && response.Status < http.StatusInternalServerError
 }
 
 // dropStandby records the end of a standby that has no answer for the caller.
