gateway: continue a stream only with its rest

Callers whose stream broke off got the text of another server's error in the middle of it, or the end of a complete stream.

Cause: for a begun stream only the status 200 was looked at.

The first event that the caller does not have must bear an ID, the next one if all so far were consecutive; the media type must be that of a stream or of the begun answer; an answer without a further event is no rest. Whatever else comes is a failed attempt: the stream is resumed elsewhere or looks broken. Standbys are held to the same before the silent server is given up, as far as the first event goes.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -15,6 +15,11 @@
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID    uint64
 	hasLastEventID bool
+	// mediaType is that of the response with which a stream began.
+	mediaType string
+	// idsSkipped is set if an event sent to the caller had another ID than the one that
+	// follows that of the event before.
+	idsSkipped bool
 	// eventCount is the number of events sent to the caller.
 	eventCount int
 	// firstEventLatency is the time from the arrival of the request to its first
@@ -42,6 +47,7 @@
 // recordEvent records an event that the caller has been sent at now.
 func (a *answer) recordEvent(ev event, now time.Time) {
 	if ev.hasID {
+		a.idsSkipped = a.idsSkipped || a.hasLastEventID && ev.id != a.lastEventID+1
 		a.lastEventID, a.hasLastEventID = ev.id, true
 	}
 	if a.eventCount > 0 {
@@ -84,3 +90,12 @@
 func (a *answer) resumable() bool {
 	return !a.headerSent || a.eventCount > 0 && a.hasLastEventID
 }
+
+// continuation returns what a response must be like to go on with the answer; nil if the
+// caller has not been sent anything yet.
+func (a *answer) continuation() *continuation {
+	if !a.headerSent {
+		return nil
+	}
+	return &continuation{lastID: a.lastEventID, consecutive: !a.idsSkipped, mediaType: a.mediaType}
+}
--- a/gateway/defect.go
+++ b/gateway/defect.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "net/http"
+import (
+	"net/http"
+
+	"bluebellwind.example/upstream"
+)
 
 // responseDefect is why a response of a server must not reach the caller; empty if it may.
 // Its value is a label of metrics.
@@ -12,6 +16,9 @@
 	defectUnsealed responseDefect = "unsealed"
 	// defectContradiction means that a success says that the request has not run.
 	defectContradiction responseDefect = "contradiction"
+	// defectNotContinued means that the response does not go on with the stream that the
+	// caller has begun to receive.
+	defectNotContinued responseDefect = "not_continued"
 )
 
 // String returns the text for logs.
@@ -21,20 +28,25 @@
 		return "the success carries no seal of a server"
 	case defectContradiction:
 		return "the success says that the request has not run"
+	case defectNotContinued:
+		return "the server did not resume the stream"
 	}
 	return string(d)
 }
 
 // defectOf returns what is wrong with a response. Failures need no seal: they promise
-// nothing that a caller relies on.
-func defectOf(status int, metadata ResponseMetadata) responseDefect {
+// nothing that a caller relies on. resumed is nil unless the response has to go on with a
+// stream.
+func defectOf(response *upstream.Response, metadata ResponseMetadata, resumed *continuation) responseDefect {
 	switch {
-	case !isSuccess(status):
+	case !isSuccess(response.Status):
 		return ""
 	case metadata.NotRun:
 		return defectContradiction
 	case !metadata.HasSeal:
 		return defectUnsealed
+	case resumed != nil && !resumed.acceptsHeader(response.Header):
+		return defectNotContinued
 	}
 	return ""
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -35,6 +35,9 @@
 	onEvent func()
 	// begun is set once an event has been read.
 	begun bool
+	// resumed is what the stream must be like to go on with another one; nil if it need not,
+	// or once that is known.
+	resumed *continuation
 	// buf holds the bytes of the current event.
 	buf []byte
 	// awaited is set if awaitedEvent and awaitedErr are the result of the next call of
@@ -49,19 +52,26 @@
 }
 
 // newResponseEvents returns a reader of the events of a response. Only complete events end
-// the silence of the server.
-func newResponseEvents(g *Gateway, response *upstream.Response) *eventReader {
+// the silence of the server. resumed is nil unless the response has to go on with a stream.
+func newResponseEvents(g *Gateway, response *upstream.Response, resumed *continuation) *eventReader {
 	response.CountRecords()
 	source := &responseReader{gateway: g, response: response, records: true}
 	e := newEventReader(source)
 	e.source, e.onEvent = source, source.RecordProgress
+	e.resumed = resumed
 	return e
 }
 
-// awaitEvent returns once next returns without waiting. It returns the error of next,
-// but nil at the end of the stream.
+// awaitEvent returns once next returns an event that the caller does not have, or an error,
+// without waiting. It returns the error of next, but nil at the end of the stream.
 func (e *eventReader) awaitEvent() error {
-	e.awaitedEvent, e.awaitedErr = e.next()
+	resumed := e.resumed
+	for {
+		e.awaitedEvent, e.awaitedErr = e.next()
+		if resumed == nil || e.awaitedErr != nil || !resumed.hasEvent(e.awaitedEvent) {
+			break
+		}
+	}
 	e.awaited = true
 	if errors.Is(e.awaitedErr, io.EOF) {
 		return nil
@@ -71,13 +81,37 @@
 
 // next returns the next complete event, or a heartbeat. Heartbeats before the first event
 // are returned as part of it, or alone at the end of a stream without events. The bytes are
-// valid until the following call. The error is io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ends within an event.
+// valid until the following call. The error is io.EOF at the end of the stream,
+// io.ErrUnexpectedEOF if the stream ends within an event, and wraps errNotContinued if it has
+// to go on with another one and does not.
 func (e *eventReader) next() (event, error) {
 	if e.awaited {
 		e.awaited = false
 		return e.awaitedEvent, e.awaitedErr
 	}
+	for {
+		ev, err := e.read()
+		switch {
+		case e.resumed == nil:
+			return ev, err
+		case errors.Is(err, io.EOF):
+			return ev, errNoFurtherEvent
+		case err != nil || e.resumed.hasEvent(ev):
+			return ev, err
+		case ev.heartbeat:
+			continue
+		}
+		if err := e.resumed.checkFirst(ev); err != nil {
+			return ev, err
+		}
+		e.resumed = nil
+		return ev, nil
+	}
+}
+
+// read reads the next event or heartbeat as next returns it, whether it goes on with another
+// stream or not.
+func (e *eventReader) read() (event, error) {
 	ev := event{heartbeat: true}
 	e.buf = e.buf[:0]
 	lineStart, recordEnd := 0, 0
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -135,6 +135,9 @@
 		return outcomeQuarantined
 	}
 	x.failureCause, x.serverGivenUp = "the answer broke off: "+err.Error(), errors.Is(err, upstream.ErrSilent)
+	if errors.Is(err, errNotContinued) {
+		x.g.metrics.countDefect(defectNotContinued)
+	}
 	x.g.directory.RecordFailure(choice.ID, false, time.Now())
 	x.watchBroken(choice, err, true)
 	return outcomeFailed
@@ -203,6 +206,7 @@
 	}
 	x.writeHeader(response, -1)
 	x.headerSent = true
+	x.mediaType = mediaTypeOf(response.Header)
 	x.g.recordFirstEvent(x)
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -61,7 +61,7 @@
 	x.attemptEvents, x.reusedConnection = 0, response.Reused
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
 	x.g.recordWithdrawal(choice, response.Status, metadata)
-	if defect := defectOf(response.Status, metadata); defect != "" {
+	if defect := defectOf(response, metadata, x.continuation()); defect != "" {
 		x.recordDefect(choice, defect)
 		return outcomeFailed
 	}
@@ -85,12 +85,12 @@
 		return outcomeFailed
 	}
 	if x.headerSent && response.Status != http.StatusOK {
-		x.failureCause = "the server did not resume the stream"
+		x.failureCause = defectNotContinued.String() + ", but returned status " + strconv.Itoa(response.Status)
 		return outcomeFailed
 	}
 	if x.route.Repeat == ingress.Stream && response.Status == http.StatusOK {
 		if events == nil {
-			events = newResponseEvents(x.g, response)
+			events = newResponseEvents(x.g, response, x.continuation())
 		}
 		return x.relayStream(choice, response, events, metadata)
 	}
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -68,12 +68,13 @@
 	request.BeforeSend = func() error { return x.checkSend(choice) }
 	request.KeepWaiting = nil
 	x.standby = s
-	go s.run(x.g, request, x.route.Repeat == ingress.Stream)
+	go s.run(x.g, request, x.route.Repeat == ingress.Stream, x.continuation())
 }
 
-// run sends the request. For a stream it waits until the first event, or the end of a
-// whole stream without events, has arrived.
-func (s *standby) run(g *Gateway, request *upstream.Request, stream bool) {
+// run sends the request. For a stream it waits until the first event that the caller does not
+// have, or the end of a whole stream without events, has arrived. resumed is nil unless the
+// response has to go on with a stream.
+func (s *standby) run(g *Gateway, request *upstream.Request, stream bool, resumed *continuation) {
 	defer close(s.done)
 	defer func() {
 		if s.err != nil && s.response != nil {
@@ -89,7 +90,7 @@
 	if !stream || s.response.Status != http.StatusOK {
 		return
 	}
-	s.events = newResponseEvents(g, s.response)
+	s.events = newResponseEvents(g, s.response, resumed)
 	s.err = s.events.awaitEvent()
 }
 
@@ -137,7 +138,7 @@
 // wantsAnswer reports whether the response is better than to wait for a silent server.
 func (x *exchange) wantsAnswer(response *upstream.Response) bool {
 	metadata := x.g.headerCodec.ParseResponse(response.Status, response.Header)
-	if defectOf(response.Status, metadata) != "" {
+	if defectOf(response, metadata, x.continuation()) != "" {
 		return false
 	}
 	if x.route.Repeat == ingress.Stream {
@@ -169,7 +170,7 @@
 	defer s.response.Close()
 	metadata := x.g.headerCodec.ParseResponse(s.response.Status, s.response.Header)
 	x.g.recordWithdrawal(s.choice, s.response.Status, metadata)
-	if defect := defectOf(s.response.Status, metadata); defect != "" {
+	if defect := defectOf(s.response, metadata, x.continuation()); defect != "" {
 		x.recordDefect(s.choice, defect)
 		return true
 	}
