gateway: do not resume a stream after an event without an ID

A stream that broke off after an event without an ID was resumed after the last event that had one, or after the one that the caller had named, so that the event came twice (ORDER). It is only known where to go on if the latest event had an ID; without one the stream now looks broken.

TestStreamIsNotResumedAfterAnEventWithoutID failed before: the stream ended as complete with the event in it twice.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -17,6 +17,9 @@
 	hasLastEventID bool
 	// mediaType is that of the response with which a stream began.
 	mediaType string
+	// lastEventHasID is set if the latest event sent to the caller had an ID. Without one it
+	// is not known where another server would have to go on.
+	lastEventHasID bool
 	// idsSkipped is set if an event sent to the caller had another ID than the one that
 	// follows that of the event before.
 	idsSkipped bool
@@ -50,6 +53,7 @@
 		a.idsSkipped = a.idsSkipped || a.hasLastEventID && ev.id != a.lastEventID+1
 		a.lastEventID, a.hasLastEventID = ev.id, true
 	}
+	a.lastEventHasID = ev.hasID
 	if a.eventCount > 0 {
 		a.longestPause = max(a.longestPause, now.Sub(a.lastEventAt))
 	}
@@ -88,7 +92,7 @@
 
 // resumable reports whether another server can go on with the answer, or begin it.
 func (a *answer) resumable() bool {
-	return !a.headerSent || a.eventCount > 0 && a.hasLastEventID
+	return !a.headerSent || a.eventCount > 0 && a.lastEventHasID
 }
 
 // continuation returns what a response must be like to go on with the answer; nil if the
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -142,3 +142,24 @@
 		})
 	}
 }
+
+// After an event without an ID it is not known where the stream would have to go on: the
+// other server sent that event once more.
+func TestStreamIsNotResumedAfterAnEventWithoutID(t *testing.T) {
+	first := eventText(1, 2) + "data: no ID\n\n"
+	for _, header := range [][]string{nil, {"Last", "0"}} {
+		h := newHarness(t)
+		addFailoverServers(h,
+			func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, unframedHead(r, 200, eventStream)+first)
+				endConnection(c, true)
+			},
+			func(c net.Conn, r *http.Request) {
+				writeResponse(c, r, 200, "id: 3\ndata: no ID\n\n"+eventText(4, 4), eventStream)
+			})
+		h.start()
+		got := h.send("/stream/x", header...)
+		assert.Assert(t, got.err != nil, got.body)
+		assert.Equal(t, got.body, first)
+	}
+}
