gateway: end the standby before a large answer begins

Callers could get a large answer of one server that went on with the answer of another: a silent server had a standby, then began an answer too large to buffer, and fell silent again or closed. The standby was adopted although the caller already had the header and a part of the first answer (MIXED).

Streams end their standby with the first event; large plain answers now end it before their header is sent.

TestBegunLargeAnswerIsNotJoinedWithThatOfAStandby failed before in 4 of 4 cases (the body held parts of both servers) and passes now.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,6 +51,7 @@
 func (x *exchange) relayUnbuffered(choice *backends.Choice, response *upstream.Response, metadata ResponseMetadata, prefix *buffer) attemptOutcome {
 	source := &responseReader{gateway: x.g, response: response}
 	defer x.relayFrom(source, choice)()
+	x.endStandby() // No other answer may follow what the caller gets from here on.
 	length := -1
 	if response.Length >= 0 {
 		length = int(response.Length)
