agent: open a connection for each call that may run once

A "once" call with a method that HTTP calls idempotent ran twice if its server closed a kept connection, because net/http sends such requests again by itself.

Such calls now have a connection of their own, on which neither can happen.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -28,7 +28,10 @@
 // use.
 type backend struct {
 	baseURL string
-	client  *http.Client
+	// client keeps connections; onceClient opens one for each call that may run once.
+	// net/http sends some requests again if a kept connection turns out to be closed, and a
+	// late copy of an earlier answer can only come on a kept connection.
+	client, onceClient *http.Client
 	// groupMember is set if the backend server is an engine of a group. Then every
 	// response must carry the attempt ID, and error statuses are turned into
 	// refusals with a verdict.
@@ -42,13 +45,20 @@
 		IdleConnTimeout:     backendIdleTimeout,
 		DisableCompression:  true,
 	}
+	onceTransport := transport.Clone()
+	onceTransport.DisableKeepAlives = true
 	return &backend{
 		baseURL:     baseURL,
 		groupMember: groupMember,
-		client: &http.Client{
-			Transport:     transport,
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		client:      newBackendClient(transport),
+		onceClient:  newBackendClient(onceTransport),
+	}
+}
+
+func newBackendClient(transport *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
@@ -64,7 +74,11 @@
 	if s.GetContentType() != "" {
 		req.Header.Set("Content-Type", s.GetContentType())
 	}
-	res, err := b.client.Do(req)
+	client := b.client
+	if s.GetTicket() != "" {
+		client = b.onceClient
+	}
+	res, err := client.Do(req)
 	if err != nil {
 		return nil, callError(err)
 	}
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -116,3 +116,40 @@
 		}
 	}
 }
+
+// A call that may run once was sent a second time by the HTTP client, because its method is
+// one that HTTP calls idempotent and its server closed a kept connection; or the late copy of
+// an earlier answer was taken for its own, since plain services need not repeat the ID.
+func TestCallThatMayRunOnceUsesNoKeptConnection(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for name, second := range map[string]func(c net.Conn){
+			"closed": func(c net.Conn) { c.Close() },
+			"late copy": func(c net.Conn) {
+				writeAnswer(c, "", http.StatusOK, "first")
+				writeAnswer(c, "", http.StatusOK, "second")
+			},
+		} {
+			t.Run(method+" "+name, func(t *testing.T) {
+				var runs atomic.Int64
+				url, _ := startServer(t, func(c net.Conn, r *http.Request, n int) {
+					if r.URL.Path == "/first" {
+						writeAnswer(c, "", http.StatusOK, "first")
+						return
+					}
+					if runs.Add(1) == 1 && n > 1 {
+						second(c)
+						return
+					}
+					writeAnswer(c, "", http.StatusOK, "second")
+				})
+				b := newBackend(url, 4, false)
+				_, _, err := callAndRead(b, &wire.Start{AttemptId: "a", Method: http.MethodGet, Target: "/first"})
+				assert.NilError(t, err)
+				_, body, err := callAndRead(b, &wire.Start{AttemptId: "b", Method: method, Target: "/second", Ticket: "t"})
+				assert.NilError(t, err)
+				assert.Equal(t, body, "second")
+				assert.Equal(t, runs.Load(), int64(1))
+			})
+		}
+	}
+}
