upstream: do not pass on a status that is no answer

One below 100 was passed over like an interim response. Such an answer is now a failure that may have run.

TestStatusThatIsNoAnswerIsNotPassedOn failed before for each of the five statuses that it tries.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// isHTTPStatus reports whether a status code is one that HTTP defines or leaves to extensions.
+func isHTTPStatus(code int) bool { return code >= http.StatusContinue && code <= maxHTTPStatus }
+
+const maxHTTPStatus = 599
+
 func isDigits(text string) bool {
 	return strings.Trim(text, "0123456789") == ""
 }
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -128,3 +128,21 @@
 		})
 	}
 }
+
+// A caller got a status that no HTTP answer has, or the switch to another protocol, which
+// nobody had asked for.
+func TestStatusThatIsNoAnswerIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+				writeResponse(c, "1", "ok")
+			})
+			_, err := sendAndRead(t, upstream.NewPool(), newRequest(address, "1"))
+			var sendErr *upstream.Error
+			assert.Assert(t, errors.As(err, &sendErr) && sendErr.MaybeSent, "%v", err)
+		})
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -205,7 +205,10 @@
 		if holdsStatusLine(resp) {
 			return nil, skipped, errTwoHeads
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if !isHTTPStatus(resp.StatusCode) || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, skipped, fmt.Errorf("no answer has status %03d", resp.StatusCode)
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
