rankagent: take a report without a group for what it is

A report names a group only if it has a name, a possible size and a rank within it. Without one the agent leaves its group and joins again with the next report that has one; plans and remote reads that began before are dropped.

--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -81,6 +81,35 @@
 	silenceTimeout time.Duration
 }
 
+// maxRanks bounds the size of a group that is believed.
+const maxRanks = maxDigestRanks
+
+// isGroup reports whether a server that states g is a rank of a group. A server that has
+// started again is none until the platform has formed its group.
+func isGroup(g backends.Group) bool {
+	return g.Name != "" && g.Size > 0 && g.Size <= maxRanks && g.Rank >= 0 && g.Rank < g.Size
+}
+
+// observeLocal takes in a report of the local server.
+func (l *leader) observeLocal(report Report, now time.Time) {
+	if !isGroup(report.Group) {
+		l.leaveGroup()
+		return
+	}
+	l.observe(report.Group, "", l.agent.options.Server, report.State, l.agent.sequence, now)
+	l.requestsByRank[report.Group.Rank] = report.Running + report.Waiting
+	l.passTimes[report.Group.Rank] = report.RelativePassTime
+}
+
+// leaveGroup forgets the group of the local rank.
+func (l *leader) leaveGroup() {
+	if l.mapSwitch == nil {
+		return
+	}
+	l.joinGroup(backends.Group{})
+	l.mapSwitch, l.switchTimes = nil, switchTimes{}
+}
+
 // observe updates the state of a rank. from is the ID of the agent that sent
 // it, and empty for the local rank.
 func (l *leader) observe(g backends.Group, from, server string, state groupmap.RankState, sequence uint64, now time.Time) {
--- a/rankagent/planner.go
+++ b/rankagent/planner.go
@@ -172,6 +172,10 @@
 	defer l.agent.mu.Unlock()
 	l.planning = false
 	l.agent.metrics.skew.Store(int64(presentSkew * 1000))
+	if l.mapSwitch == nil {
+		l.agent.metrics.countPlan(planOutdated)
+		return
+	}
 	version, epoch := l.mapSwitch.Version()
 	if result != planStarted {
 		l.agent.metrics.countPlan(result)
--- a/rankagent/presence.go
+++ b/rankagent/presence.go
@@ -140,7 +140,7 @@
 	}
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
-	if report.Group.Name == l.group.Name && report.Group.Rank == rank {
+	if l.mapSwitch != nil && report.Group.Name == l.group.Name && report.Group.Rank == rank {
 		l.observeRemote(rank, report, began, time.Now())
 	}
 }
--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bluebellwind.example/backends"
 	"bluebellwind.example/groupmap"
 	"bluebellwind.example/mesh"
 	"bluebellwind.example/mesh/meshpb"
@@ -65,6 +66,9 @@
 	now := time.Now()
 	a.mu.Lock()
 	up := err == nil
+	if !isGroup(report.Group) {
+		report.Group = backends.Group{}
+	}
 	if !up {
 		readAt = now // The server did not answer until now.
 	}
@@ -80,9 +84,7 @@
 		a.passTimer.observe(report, now)
 		a.recordSlowness(report)
 		a.report = report
-		a.leader.observe(report.Group, "", a.options.Server, report.State, a.sequence, now)
-		a.leader.requestsByRank[report.Group.Rank] = report.Running + report.Waiting
-		a.leader.passTimes[report.Group.Rank] = report.RelativePassTime
+		a.leader.observeLocal(report, now)
 	}
 	a.up = up
 	toGroup, peers, gateways := a.statusReceivers(changed, force || switchProgressed, now)
