gateway: leave out a server without a group that refuses

Such a refusal left out the group of its sender only, so a server without one was chosen again at once, up to ten times a second by each gateway.

The server itself is now left out as after a failed connection, from 0.3 s up to 4 s.

--- a/backends/directory.go
+++ b/backends/directory.go
@@ -357,18 +357,19 @@
 
 // MarkGroupBroken records that a request found the group of a server broken.
 // The group is excluded until the given time, or until one of its ranks reports
-// a newer epoch.
-func (d *Directory) MarkGroupBroken(id string, until time.Time) {
+// a newer epoch. MarkGroupBroken returns false if the server is in no known group.
+func (d *Directory) MarkGroupBroken(id string, until time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.servers[id]
 	if e == nil || e.Group.Name == "" {
-		return
+		return false
 	}
 	g := d.ensureGroup(e.Group.Name)
 	g.brokenUntil = until
 	g.brokenEpoch = max(e.Group.Epoch, d.statuses[e.Address].Group.Epoch)
 	d.markOutdated(e.Service)
+	return true
 }
 
 // ensureGroup returns the state of a group and creates it if it is missing. The
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -116,3 +116,25 @@
 		assert.Assert(t, path != "/once/x" || count.(*atomic.Int64).Load() == 1, "it ran %v times", count)
 	}
 }
+
+// A server without a group that refused every request with the name of a server at fault was
+// chosen again at once, since only its group would have been left out: callers waited for the
+// retry, and the retry budget was used up.
+func TestServerThatOnlyRefusesIsLeftOut(t *testing.T) {
+	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			refusing := h.addServer("a", func(c net.Conn, r *http.Request) { writeResponse(c, r, status, "", "Not-Run: 1", "Faulty: a") })
+			h.addServer("b", func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") })
+			h.start()
+			const requests = 40
+			for i := range requests {
+				got := h.send("/again/x", "Id", fmt.Sprint(i))
+				assert.Equal(t, got.status, http.StatusOK)
+				time.Sleep(25 * time.Millisecond) // A second in all, in which it is left out twice.
+			}
+			assert.Assert(t, refusing.requestCount.Load() <= 4, "%d of %d requests went to it", refusing.requestCount.Load(), requests)
+		})
+	}
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -258,7 +258,9 @@
 	switch {
 	case metadata.FaultyServer != "":
 		x.failureCause += ", its group is broken at " + metadata.FaultyServer
-		x.g.directory.MarkGroupBroken(choice.ID, now.Add(brokenGroupExclusion))
+		if !x.g.directory.MarkGroupBroken(choice.ID, now.Add(brokenGroupExclusion)) {
+			x.g.directory.RecordFailure(choice.ID, true, now) // There is only the server to leave out.
+		}
 	case status == http.StatusMisdirectedRequest: // Another server has the address now.
 		x.g.directory.RecordFailure(choice.ID, true, now)
 	default:
