gateway: break a stream off at text that is no event

A line of a stream must be a comment or a field with a name in lower case, and have a colon unless it is data, event, id or retry. At another one the answer has broken off: the stream is resumed at another server or looks broken.

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -163,3 +164,36 @@
 		assert.Equal(t, got.body, first)
 	}
 }
+
+// The head and text of an error, or the framing of a stream whose header had been damaged, got
+// into a stream as if they were events, within one answer of one server.
+func TestForeignTextInAStreamReachesNoCaller(t *testing.T) {
+	for name, text := range map[string]string{
+		"head":                         "HTTP/1.1 500 X\r\nContent-Type: text/plain\r\n\r\nno\n\n",
+		"head within a name":           "daHTTP/1.1 500 X\r\nContent-Type: text/plain\r\n\r\nno\n\n",
+		"head within data":             "id: 4\ndata: eHTTP/1.1 500 X\r\nContent-Type: text/plain\r\n\r\nno\n\n",
+		"text":                         "upstream error\n\n",
+		"size of a chunk":              "1f\r\nid: 4\ndata: e4\n\n",
+		"text after the next event":    eventText(4, 4) + "upstream error\n\n",
+		"page":                         "<html><body>error</body></html>\n\n",
+		"page with attributes":         "<p style=\"color:red\">error</p>\n\n",
+		"JSON":                         "{\"error\": \"no\"}\n\n",
+		"answer to an earlier request": "HTTP/1.1 503 X\r\nId: 9\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			addFailoverServers(h, func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, unframedHead(r, 200, eventStream)+eventText(1, 3)+text)
+				c.Close()
+			}, func(c net.Conn, r *http.Request) {
+				last, _ := strconv.Atoi(r.Header.Get("Last"))
+				writeEvents(c, r, last+1, 6, true)
+			})
+			h.start()
+			got := h.send("/stream/x")
+			assert.NilError(t, got.err, h.logLines("1"))
+			assert.Equal(t, got.body, eventText(1, 6))
+		})
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,7 +13,12 @@
 // maxEventBytes is the maximum size of one event of a stream, in bytes.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("gateway: stream event exceeds the maximum size")
+var (
+	errEventTooLarge = errors.New("gateway: stream event exceeds the maximum size")
+	// errForeignLine means that text of something else has got into the stream, such as the
+	// head of another response where the end of the stream is that of its connection.
+	errForeignLine = errors.New("gateway: the stream holds a line that is no field of an event")
+)
 
 // event is one event of a server-sent event stream, as the server wrote it.
 type event struct {
@@ -38,6 +43,8 @@
 	// resumed is what the stream must be like to go on with another one; nil if it need not,
 	// or once that is known.
 	resumed *continuation
+	// onlyFields is set if each line must be a comment or a field of an event.
+	onlyFields bool
 	// buf holds the bytes of the current event.
 	buf []byte
 	// awaited is set if awaitedEvent and awaitedErr are the result of the next call of
@@ -59,6 +66,7 @@
 	e := newEventReader(source)
 	e.source, e.onEvent = source, source.RecordProgress
 	e.resumed = resumed
+	e.onlyFields = mediaTypeOf(response.Header) == eventStreamType
 	return e
 }
 
@@ -137,6 +145,9 @@
 		line := bytes.TrimRight(e.buf[lineStart:], "\r\n")
 		lineStart = len(e.buf)
 		if len(line) > 0 {
+			if e.onlyFields && !isField(line) {
+				return ev, errForeignLine
+			}
 			ev.heartbeat = ev.heartbeat && line[0] == ':'
 			ev.parseID(line)
 			continue
@@ -171,3 +182,26 @@
 		ev.id, ev.hasID = id, true
 	}
 }
+
+// byteOrderMark may stand at the beginning of a stream.
+var byteOrderMark = []byte("\xEF\xBB\xBF")
+
+// isField reports whether a line is a comment or a field of an event. Names that are not
+// known are ignored by readers of events, so they may occur; those that are known are in
+// lower case, and only they may stand without a colon.
+func isField(line []byte) bool {
+	name, _, hasColon := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte(":"))
+	if !hasColon {
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -43,3 +43,13 @@
 	assert.Equal(t, string(ev.raw), text)
 	assert.Equal(t, ev.id, uint64(9))
 }
+
+// Lines that readers of events accept must not break a stream.
+func TestFieldsOfEvents(t *testing.T) {
+	for _, line := range []string{"data: a", "data:", "data", "id: 1", "retry", ": comment", ":", "x-version: 3", "\xEF\xBB\xBFid: 1", "\xEF\xBB\xBF: x"} {
+		assert.Assert(t, isField([]byte(line)), "%q", line)
+	}
+	for _, line := range []string{"HTTP/1.1 200 OK", "Content-Type: text/plain", "1f", "error", "{", "<a:b>", "da ta: x"} {
+		assert.Assert(t, !isField([]byte(line)), "%q", line)
+	}
+}
