gateway: state in a test that the last event had an ID

TestServerIsGivenUpOnlyWithARetry sets up a stream that has begun; since such a stream can go on elsewhere only if its latest event had an ID, which the test did not state. What it checks is unchanged.

--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -86,7 +86,7 @@
 			g: h.gateway, r: httptest.NewRequest(http.MethodPost, "/stream/x", nil), ctx: ctx,
 			request:  request{serviceName: "svc", route: &ingress.Route{Repeat: ingress.Stream, Resumable: true, MaxAttempts: 2}},
 			attempts: attempts{sendCount: 1, mayHaveRun: true},
-			answer:   answer{headerSent: true, eventCount: 1, hasLastEventID: true},
+			answer:   answer{headerSent: true, eventCount: 1, hasLastEventID: true, lastEventHasID: true},
 		}
 		assert.Check(t, x.waitPolicy(&backends.Choice{Server: a.Server})(maxStall), "the silent server was given up")
 		if x.standby != nil {
