crash: take an answer without a process for no crash

A broken connection to an engine whose health answer does not name its process counted as a crash, since "" is another name than that of the run: its requests came under suspicion and their callers were told of a crash.

The case in TestWatchTellsACrashFromABrokenConnection failed before.

--- a/internal/crash/watch.go
+++ b/internal/crash/watch.go
@@ -141,8 +141,8 @@
 // ConnectionBroke records that the connection of the run broke. It probes the
 // server. If the server does not answer or is another process than before, it has
 // crashed, and ConnectionBroke returns the report of the crash. If the process of
-// the run is unknown, only a server that does not answer counts as crashed. If the
-// server did not crash, ConnectionBroke ends the run and returns false.
+// the run or that of the answer is unknown, only a server that does not answer counts as
+// crashed. If the server did not crash, ConnectionBroke ends the run and returns false.
 func (r *Run) ConnectionBroke(ctx context.Context) (suspects.Report, bool) {
 	r.gen.probeMu.Lock()
 	defer r.gen.probeMu.Unlock()
@@ -150,7 +150,7 @@
 		return r.gen.report, true
 	}
 	process, err := r.monitor.probeProcess(ctx)
-	if err == nil && (r.process == "" || process == r.process) {
+	if err == nil && (r.process == "" || process == "" || process == r.process) {
 		r.gen.tracker.Finish(r.id, false, nil, time.Now())
 		return suspects.Report{}, false
 	}
--- a/internal/crash/watch_test.go
+++ b/internal/crash/watch_test.go
@@ -32,6 +32,7 @@
 		{"the same process answers", "1", nil, false},
 		{"another process answers", "2", nil, true},
 		{"nobody answers", "", refused, true},
+		{"the answer names no process", "", nil, false}, // It was taken for another process.
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ctx := context.Background()
