agent: revoke a queued attempt also when the table is full

Only an attempt that the table does not know cannot be recorded there.

TestQueuedAttemptIsRevokedThoughTheTableIsFull failed before.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -116,8 +116,8 @@
 // ever starting. awakeAtSend is the awake time of this agent that the entry last
 // knew when it sent the attempt. It returns MayHaveRun if the attempt has started,
 // if it was sent to another incarnation, if it may be older than attemptRetention,
-// so that it may have run and been removed from the table, or if the table is full
-// and cannot record the revocation.
+// so that it may have run and been removed from the table, or if it is not in the table
+// and the table is full, so that the revocation cannot be recorded.
 func (a *attemptTable) revoke(id string, incarnation uint64, awakeAtSend time.Duration) verdict.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -130,7 +130,7 @@
 	switch {
 	case a.states[id] == attemptRevoked:
 		return verdict.NotRun
-	case a.states[id] == attemptStarted, len(a.states) >= maxAttempts:
+	case a.states[id] == attemptStarted, a.states[id] == 0 && len(a.states) >= maxAttempts:
 		return verdict.MayHaveRun
 	}
 	if a.disabled != "revocation" {
--- a/internal/agent/attempts_test.go
+++ b/internal/agent/attempts_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"bluebellwind.example/verdict"
 )
 
@@ -198,3 +200,16 @@
 	}
 	t.Logf("schedules %d, violations 0, revoked %d, of which never ran and were not told so %d", seeds(), revokedCount, unreportedCount)
 }
+
+// A full table answered "may have run" for an attempt that waited for a slot, although the
+// attempt is in the table and can be kept from starting.
+func TestQueuedAttemptIsRevokedThoughTheTableIsFull(t *testing.T) {
+	a := newAttemptTable(1)
+	for i := range maxAttempts {
+		assert.NilError(t, a.addQueued(fmt.Sprint(i)))
+	}
+	assert.Equal(t, a.revoke("7", 1, 0), verdict.NotRun)
+	assert.Assert(t, a.markStarted("7") != nil, "a revoked attempt started")
+	assert.Equal(t, a.revoke("another", 1, 0), verdict.MayHaveRun, "its revocation cannot be recorded")
+	assert.Equal(t, len(a.states), maxAttempts)
+}
