suspects: cut a long zone name between characters

TestLongZoneOfAReportIsCutBetweenCharacters failed before at its second name (the first is cut between two characters) and passes now for all three.

--- a/suspects/report.go
+++ b/suspects/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -73,7 +74,7 @@
 		slices.SortStableFunc(kept, func(a, b InFlightRequest) int { return a.TokensSent - b.TokensSent })
 		kept = kept[:MaxReportRequests]
 	}
-	zone = zone[:min(len(zone), maxZoneBytes)]
+	zone = strings.ToValidUTF8(zone[:min(len(zone), maxZoneBytes)], "") // The cut may lie within a character.
 	return Report{ServerID: server, At: at.Truncate(time.Millisecond), Zone: zone, Cause: cause, Requests: kept}
 }
 
