membership: ask again for a text that was lost

An instance could get a new revision more than 8 s late. A revision is announced once, and its text is asked for from the first that announces it; if that message is lost, only the next exchange of digests brings it up again, up to 5 s later, or 10 s if that one falls into the 2 s in which nothing is asked for or loses a message too.

If the text of a newer revision has not arrived 2 s after its announcement, the instance begins an exchange of digests at once, and again each 2 s.

TestLostTextIsAskedForAgain (no chance in it) fails without the mechanism and passes with it.

--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -164,6 +164,7 @@
 		withoutIncarnations: without("incarnations"),
 		withoutJoin:         without("join"),
 		withoutUrgent:       without("urgent"),
+		withoutTextRepeat:   without("text-repeat"),
 		withoutPauseCheck:   without("pausecheck"),
 	}
 	opts.Store.acceptOlderRevisions = without("order")
--- a/membership/node.go
+++ b/membership/node.go
@@ -42,6 +42,7 @@
 	withoutIncarnations bool
 	withoutJoin         bool
 	withoutUrgent       bool
+	withoutTextRepeat   bool
 	withoutPauseCheck   bool
 }
 
@@ -102,6 +103,9 @@
 	// is made.
 	requestedRevision   Revision
 	textRequestDeadline time.Time
+	// textRepeatAt is when the text of newestAnnounced is asked for again if it has not
+	// arrived; zero if it is not awaited.
+	textRepeatAt time.Time
 	// compressedText caches the compressed text of the revision whose digest is
 	// compressedDigest.
 	compressedText   []byte
--- a/membership/revision_test.go
+++ b/membership/revision_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"bluebellwind.example/membership/membershippb"
 )
 
 // fakeSource is an in-memory configuration service that records the time of each
@@ -107,6 +109,35 @@
 	})
 }
 
+// The message with the text of a new revision was lost. Nobody announces a revision twice, so
+// that the instance waited for its next gossip exchange, or the one after: 8 s and more.
+func TestLostTextIsAskedForAgain(t *testing.T) {
+	for offset := time.Duration(0); offset < 5*time.Second; offset += 500 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, 1, 4, 0)
+			f.source = newSource(rulesRevision(5))
+			f.start()
+			time.Sleep(60*time.Second + offset)
+			behind := f.nodes[3]
+			f.net.mu.Lock()
+			f.net.blocked = func(from, to Address) bool { return from == behind.self.Addr || to == behind.self.Addr }
+			f.net.mu.Unlock()
+			r := rulesRevision(6)
+			for _, n := range f.nodes[:3] {
+				_, err := n.OfferRevision(r)
+				assert.NilError(t, err)
+			}
+			announcement := &membershippb.Message{From: "entry-0", Incarnation: f.nodes[0].self.Incarnation, Revision: &membershippb.Revision{Number: r.Number, Digest: r.Digest}}
+			reply, err := behind.HandleExchange(t.Context(), announcement)
+			assert.NilError(t, err)
+			assert.Assert(t, reply.GetWantText())
+			f.net.partition(nil) // What is sent from here on arrives; the text was lost.
+			time.Sleep(behind.timing.ExchangeTimeout + 2*behind.timing.TickPeriod + 10*f.net.delay)
+			assert.Equal(t, behind.store.Current().Number, r.Number, "offset %v", offset)
+		})
+	}
+}
+
 func TestNewInstanceAsksPeersBeforeItIsReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSource(rulesRevision(9))
--- a/membership/step.go
+++ b/membership/step.go
@@ -39,6 +39,9 @@
 	if !n.joined {
 		n.advanceJoin(now)
 	}
+	if !n.opts.withoutTextRepeat {
+		n.repeatTextRequest(now)
+	}
 	if !now.Before(n.nextGossip) {
 		n.nextGossip = now.Add(n.gossipPeriod(now))
 		n.gossip(now)
--- a/membership/text.go
+++ b/membership/text.go
@@ -36,6 +36,9 @@
 	if announced.Compare(n.newestAnnounced) > 0 {
 		n.newestAnnounced = announced
 	}
+	if n.textRepeatAt.IsZero() {
+		n.textRepeatAt = now.Add(n.timing.ExchangeTimeout)
+	}
 	if announced.Compare(n.requestedRevision) <= 0 && now.Before(n.textRequestDeadline) {
 		return false
 	}
@@ -43,6 +46,21 @@
 	return true
 }
 
+// repeatTextRequest brings the next gossip exchange forward if a text that was announced has
+// not arrived in time: the message with it may be lost, and a revision is announced only once.
+// The caller holds n.mu.
+func (n *Node) repeatTextRequest(now time.Time) {
+	if n.textRepeatAt.IsZero() || now.Before(n.textRepeatAt) {
+		return
+	}
+	if !n.store.needsText(n.newestAnnounced.Number, n.newestAnnounced.Digest) {
+		n.textRepeatAt = time.Time{}
+		return
+	}
+	n.textRepeatAt = now.Add(n.timing.ExchangeTimeout)
+	n.nextGossip = now
+}
+
 // offerReceivedText offers a revision received from a peer to the store if it
 // includes a text that the store needs. It announces an accepted revision to
 // peers. The caller holds n.mu.
