gateway: put the statuses that are not passed on in one place

relay had three conditions that built the same sentence; rejectStatus holds them now. The test of seals names its successes. No change of behaviour but in the text of one cause in the log.

--- a/gateway/defect_test.go
+++ b/gateway/defect_test.go
@@ -28,32 +28,35 @@
 // large is the body of a response that is too large to buffer.
 var large = strings.Repeat("x", maxBufferedBytes+100)
 
-// successes are whole successes of servers for the routes that they are named after.
-var successes = map[string]func(net.Conn, *http.Request){
-	"once":  func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") },
-	"once ": func(c net.Conn, r *http.Request) { writeResponse(c, r, 201, large) },
-	"again": func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, large) },
-	"again ": func(c net.Conn, r *http.Request) {
+// successes are whole successes of servers for different routes.
+var successes = map[string]struct {
+	path  string
+	write func(net.Conn, *http.Request)
+}{
+	"small":    {"/once/x", func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "ok") }},
+	"large":    {"/once/x", func(c net.Conn, r *http.Request) { writeResponse(c, r, 201, large) }},
+	"repeated": {"/again/x", func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, large) }},
+	"unframed": {"/again/x", func(c net.Conn, r *http.Request) {
 		_, _ = io.WriteString(c, unframedHead(r, 200)+"ok")
 		c.Close()
-	},
-	"again  ":  func(c net.Conn, r *http.Request) { _, _ = io.WriteString(c, unframedHead(r, 204)) },
-	"stream":   func(c net.Conn, r *http.Request) { writeEvents(c, r, 1, 3, true) },
-	"stream ":  func(c net.Conn, r *http.Request) { writeEvents(c, r, 1, 0, true) },
-	"stream  ": func(c net.Conn, r *http.Request) { writeResponse(c, r, 202, "ok") },
+	}},
+	"without a body":         {"/again/x", func(c net.Conn, r *http.Request) { _, _ = io.WriteString(c, unframedHead(r, 204)) }},
+	"stream":                 {"/stream/x", func(c net.Conn, r *http.Request) { writeEvents(c, r, 1, 3, true) }},
+	"stream without events":  {"/stream/x", func(c net.Conn, r *http.Request) { writeEvents(c, r, 1, 0, true) }},
+	"no stream on its route": {"/stream/x", func(c net.Conn, r *http.Request) { writeResponse(c, r, 202, "ok") }},
 }
 
 // A server that damaged the header with its seal had its response passed on as a success, so
 // that a caller took a payment for recorded on the word of no server.
 func TestSuccessWithoutASealReachesNoCaller(t *testing.T) {
-	for name, write := range successes {
+	for name, success := range successes {
 		for _, method := range []string{http.MethodPost, http.MethodHead} {
 			t.Run(method+" "+name, func(t *testing.T) {
 				t.Parallel()
 				h := newHarness(t)
-				h.addServer("a", unsealed(write))
+				h.addServer("a", unsealed(success.write))
 				h.start()
-				resp, body, _ := h.dialCaller().send(method, "/"+strings.TrimSpace(name)+"/x", "1")
+				resp, body, _ := h.dialCaller().send(method, success.path, "1")
 				assert.Equal(t, resp.StatusCode, http.StatusBadGateway, "%d bytes; the request may have run", len(body))
 				assert.Assert(t, strings.Contains(h.logLines("1"), "carries no seal"), h.logLines("1"))
 			})
@@ -64,17 +67,16 @@
 // After a success without a seal, a request that may be repeated goes to another server and
 // one that may run once does not.
 func TestRequestAfterASuccessWithoutASeal(t *testing.T) {
-	for name, write := range successes {
-		path := strings.TrimSpace(name)
+	for name, success := range successes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
-			a, b := addFailoverServers(h, unsealed(write), write)
+			a, b := addFailoverServers(h, unsealed(success.write), success.write)
 			h.start()
-			got := h.send("/" + path + "/x")
+			got := h.send(success.path)
 			assert.NilError(t, got.err)
 			sends := a.requestCount.Load() + b.requestCount.Load()
-			if path == "once" {
+			if success.path == "/once/x" {
 				assert.Equal(t, got.status, http.StatusBadGateway)
 				assert.Equal(t, sends, int64(1))
 				return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -76,16 +76,8 @@
 			return outcomeFailed
 		}
 	}
-	if saysNotRun(response.Status) && (mayHaveRunBefore || x.standbyMayHaveRun || x.standby != nil) {
-		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + ", and another may have run the request"
-		return outcomeFailed
-	}
-	if saysNotRun(response.Status) && !x.route.Repeatable() {
-		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + " and does not say that it has not run the request"
-		return outcomeFailed
-	}
-	if x.headerSent && response.Status != http.StatusOK {
-		x.failureCause = defectNotContinued.String() + ", but returned status " + strconv.Itoa(response.Status)
+	if reason := x.rejectStatus(response.Status, mayHaveRunBefore); reason != "" {
+		x.failureCause = "the server returned status " + strconv.Itoa(response.Status) + " " + reason
 		return outcomeFailed
 	}
 	if x.route.Repeat == ingress.Stream && response.Status == http.StatusOK {
@@ -97,6 +89,20 @@
 	return x.relayBuffered(choice, response, metadata)
 }
 
+// rejectStatus returns why a status of a server must not reach the caller, as the end of a
+// sentence; empty if it may. mayHaveRunBefore is as for relay.
+func (x *exchange) rejectStatus(status int, mayHaveRunBefore bool) string {
+	switch {
+	case saysNotRun(status) && (mayHaveRunBefore || x.standbyMayHaveRun || x.standby != nil):
+		return "and another may have run the request"
+	case saysNotRun(status) && !x.route.Repeatable():
+		return "and does not say that it has not run the request"
+	case x.headerSent && status != http.StatusOK:
+		return "in place of the rest of the stream"
+	}
+	return ""
+}
+
 // recordDefect records that a server has sent a response that must not reach the caller.
 func (x *exchange) recordDefect(choice *backends.Choice, defect responseDefect) {
 	x.failureCause = defect.String()
