--- a/rankagent/group_test.go
+++ b/rankagent/group_test.go
@@ -45,14 +45,21 @@
 			for _, reported := range []backends.Group{none, group, none, none, group} {
 				engine.group = reported
 				a.reportStatus(t.Context(), true)
+				a.mu.Lock()
 				a.leader.plannedAt = time.Time{}
+				a.mu.Unlock()
 				a.leader.tick(t.Context())
 				a.leader.computePlan(planInput{
 					current: groupmap.InitialMap(shape), shape: shape, present: load,
 					demand: groupmap.Demand{Load: load, TokenTimes: []float64{1}},
 				}) // A plan that began while the server was in its group.
-				assert.Equal(t, a.leader.mapSwitch != nil, reported == group)
+				a.mu.Lock()
+				joined := a.leader.mapSwitch != nil
+				a.mu.Unlock()
+				assert.Equal(t, joined, reported == group)
 			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
 			assert.Equal(t, a.leader.requestsByRank[0], 1)
 		})
 	}
