review: after the first restore of the store a revoked key runs

A gateway that started beside the restore answered 200 with a key that had been taken away 6.5 s before, 27 times in 1.5 s; the others answered 401. An era of 1 counts as that of a store that was never restored.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -18,6 +18,7 @@
 	"encoded-slash":      encodedSlash,
 	"forgotten-crashes":  forgottenCrashes,
 	"crash-after-events": crashAfterEvents,
+	"first-restore":      firstRestore,
 	"last-tenant":        lastTenant,
 }
 
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -21,10 +22,14 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-// store is a stand-in for the platform's store. It is linearizable, loses nothing and keeps
-// its whole history.
+// store is a stand-in for the platform's store. It is linearizable, keeps its whole history and
+// loses what it has acknowledged only in a restore.
 type store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era rises by one with each restore.
+	era int64
+	// away says that the store answers nothing.
+	away     bool
 	revision int64
 	items    map[string]item
 	history  []item
@@ -32,7 +37,7 @@
 }
 
 func newStore() *store {
-	return &store{revision: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{era: 1, revision: 1, items: make(map[string]item), changed: make(chan struct{})}
 }
 
 func (s *store) listen() (string, error) {
@@ -80,9 +85,45 @@
 	s.changed = make(chan struct{})
 }
 
+// storeCopy is a copy of what a store holds.
+type storeCopy struct {
+	revision int64
+	items    map[string]item
+	history  []item
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.revision, maps.Clone(s.items), slices.Clone(s.history)}
+}
+
+// goAway makes the store answer nothing, until restore.
+func (s *store) goAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from an older copy, in a new era.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.era = false, s.era+1
+	s.revision, s.items, s.history = c.revision, c.items, c.history
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	away, era := s.away, s.era
+	s.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	w.Header().Set("Content-Type", "application/json")
 	query := r.URL.Query()
 	switch r.URL.Path {
@@ -93,7 +134,7 @@
 	case "/bluebellwind/kv-watch":
 		after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("wait_ms"))
-		s.serveWatch(w, r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+		s.serveWatch(w, r, era, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -123,12 +164,21 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"items": list, "truncated": false, "as_of": s.revision})
 }
 
-func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
+// serveWatch serves a watch, which is cut when the store goes away.
+func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, era int64, prefix string, after int64, wait time.Duration) {
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
 		events, revision, changed := s.eventsAfter(prefix, after), s.revision, s.changed
+		cut := s.away || s.era != era
 		s.mu.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		if after > revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) == 0 {
 			select {
 			case <-changed:
