--- a/review/rig2/restore.go
+++ b/review/rig2/restore.go
@@ -60,9 +60,7 @@
 	back := time.Now()
 	killed.start()
 	r.record("%s is started again", killed.name)
-	if !killed.awaitReady(time.Second) {
-		r.record("%s says that it is not ready", killed.name)
-	}
+	r.record("%s says that it is ready: %v", killed.name, killed.awaitReady(time.Second))
 	for time.Since(back) < writeAgain {
 		for _, g := range r.gateways {
 			r.send(g, write)
