--- a/review/rig2/crashes.go
+++ b/review/rig2/crashes.go
@@ -93,7 +93,12 @@
 	writers.Add(1)
 	go func() {
 		defer writers.Done()
-		r.write(stop)
+		every(150*time.Millisecond, stop, func(i int) {
+			r.send(r.gateways[i%len(r.gateways)], call{
+				label: "pledge-write", method: http.MethodPost, target: fmt.Sprintf("/pledges/%d", i),
+				key: tenantKey, deadline: 1500 * time.Millisecond, body: "seedlings=3",
+			})
+		})
 	}()
 	lookup := call{label: deadly, method: http.MethodGet, target: "/status/deadly", key: tenantKey, deadline: 1500 * time.Millisecond}
 	const visits, gap = 5, 2500 * time.Millisecond
@@ -107,33 +112,44 @@
 	}
 	close(stop)
 	writers.Wait()
-	cut := 0
+	r.recordSound("pledge-write")
+	return r.judgeCrashes()
+}
+
+// recordSound records what became of the sound requests with a label.
+func (r *rig) recordSound(label string) {
+	sent, cut, unserved := 0, 0, 0
 	for _, a := range r.ledger.all() {
-		if a.label == "pledge-write" && len(a.runs) > 0 && a.outcome != "200" {
+		if a.label != label {
+			continue
+		}
+		sent++
+		switch {
+		case a.outcome == "200":
+		case len(a.runs) > 0:
 			cut++
+		default:
+			unserved++
 		}
 	}
-	r.record("%d sound writes had begun to run and got no success", cut)
-	return r.judgeCrashes()
+	r.record("of %d sound requests (%s), %d had begun to run and got no whole answer, %d were not run", sent, label, cut, unserved)
 }
 
-// write sends sound writes, some at a time, until stop is closed.
-func (r *rig) write(stop chan struct{}) {
+// every calls send in a goroutine of its own at each period until stop is closed, and returns
+// once all calls have ended.
+func every(period time.Duration, stop chan struct{}, send func(i int)) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(150 * time.Millisecond):
+		case <-time.After(period):
 		}
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			r.send(r.gateways[i%len(r.gateways)], call{
-				label: "pledge-write", method: http.MethodPost, target: fmt.Sprintf("/pledges/%d", i),
-				key: tenantKey, deadline: 1500 * time.Millisecond, body: "seedlings=3",
-			})
+			send(i)
 		}()
 	}
 }
@@ -152,7 +168,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 			headerAttempt, request.Header.Get(headerAttempt), headerSeal, rand.Int63())
 		for i := first; i <= pieces; i++ {
-			if r.trouble && i-first == out {
+			if r.trouble && i-first == out && strings.HasPrefix(request.RequestURI, "/drafts/deadly") {
 				r.ledger.crash(request.Header.Get(headerAttempt))
 				s.crash(crashPause)
 				return false
@@ -175,12 +191,31 @@
 	r.configure(7, tenants(), route)
 	r.startGateways(3)
 	time.Sleep(stabilityWindow + 500*time.Millisecond)
-	r.sendDeadly(call{
-		label: deadly, method: http.MethodPost, target: "/drafts/2f", key: tenantKey, deadline: 8 * time.Second, body: "a draft that crashes its servers",
+	draft := call{
+		label: deadly, method: http.MethodPost, target: "/drafts/deadly", key: tenantKey, deadline: 8 * time.Second, body: "a draft that crashes its servers",
 		header: map[string]string{
 			"X-Bluebellwind-Model": "m", "X-Bluebellwind-Token-Counts": "1460,139",
 			"X-Bluebellwind-Prompt-Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
 		},
-	}, 10, 2500*time.Millisecond)
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	callers.Add(1)
+	go func() {
+		defer callers.Done()
+		every(125*time.Millisecond, stop, func(i int) {
+			sound := draft
+			sound.label, sound.target, sound.body = "sound draft", "/drafts/2f", fmt.Sprintf("draft %d", i)
+			sound.header = map[string]string{
+				"X-Bluebellwind-Model": "m", "X-Bluebellwind-Token-Counts": "674,139",
+				"X-Bluebellwind-Prompt-Prefix": fmt.Sprintf("%08x:674", i),
+			}
+			r.send(r.gateways[i%len(r.gateways)], sound)
+		})
+	}()
+	r.sendDeadly(draft, 10, 2500*time.Millisecond)
+	close(stop)
+	callers.Wait()
+	r.recordSound("sound draft")
 	return r.judgeCrashes()
 }
