--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses of a case.
@@ -30,6 +32,15 @@
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
 }
 
+// closeOnSignal ends the processes of the rig, and this one, when it is told to stop.
+func (r *rig) closeOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	r.close()
+	os.Exit(statusFailed)
+}
+
 // run plays one case and returns the exit status.
 func run(play func(*rig) []string, folder string) (status int) {
 	file, err := os.Create(filepath.Join(folder, "record.txt"))
@@ -44,6 +55,7 @@
 		return statusFailed
 	}
 	defer r.close()
+	go r.closeOnSignal()
 	defer func() {
 		if failure := recover(); failure != nil {
 			r.record("could not run: %v", failure)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -26,6 +26,8 @@
 	// requests.
 	lastStart  time.Time
 	deadlySent int
+	// servers is the number of servers.
+	servers int
 
 	mu  sync.Mutex
 	out io.Writer
@@ -131,9 +133,8 @@
 // newPorts finds loopback addresses and ports that are free on all of them.
 func newPorts(n int) ports {
 	p := ports{}
-	block := os.Getpid()%200 + 10
 	for i := range n {
-		p.address = append(p.address, fmt.Sprintf("127.0.%d.%d", block, i+1))
+		p.address = append(p.address, loopback(i+1))
 	}
 	for _, port := range []*int{&p.mesh, &p.callers, &p.ready, &p.metrics} {
 		*port = freePort(p.address, p.mesh, p.callers, p.ready)
@@ -141,6 +142,10 @@
 	return p
 }
 
+// loopback returns a loopback address of this process. Addresses of servers and gateways are their
+// own, so that no connection takes the port of a server that has crashed.
+func loopback(host int) string { return fmt.Sprintf("127.0.%d.%d", os.Getpid()%200+10, host) }
+
 // freePort returns a port that is free on all addresses and is none of taken.
 func freePort(addresses []string, taken ...int) int {
 next:
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -42,7 +42,9 @@
 }
 
 func (r *rig) startServer(service string, behave func(*server, net.Conn, *http.Request) bool) *server {
-	s := &server{rig: r, service: service, behave: behave, address: "127.0.0.1:0"}
+	const firstHost = 100
+	s := &server{rig: r, service: service, behave: behave, address: loopback(firstHost+r.servers) + ":0"}
+	r.servers++
 	s.start()
 	go s.heartbeat()
 	return s
