--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -34,16 +34,17 @@
 }
 
 // encodedSlash loses answers to requests on an unsafe route whose path holds an encoded slash: for
-// four seconds, two of five answers of one of three servers.
+// four seconds, at most two of five answers of one of three servers.
 func encodedSlash(r *rig) []string {
-	const lostOf, lost, lossTime = 5, 2, 4 * time.Second
+	const lossShare, lossTime = 0.4, 4 * time.Second
 	var first *server
 	var lossFrom time.Time
-	served := 0
+	served, lost := 0, 0
 	answer := func(s *server, c net.Conn, request *http.Request) bool {
 		if s == first && r.trouble && time.Since(lossFrom) < lossTime {
 			served++
-			if served%lostOf < lost {
+			if float64(lost+1) <= lossShare*float64(served) {
+				lost++
 				r.record("request %s: server %s loses its answer", request.Header.Get(headerAttempt), s.id)
 				reset(c)
 				return false
--- a/review/rig2/crashes.go
+++ b/review/rig2/crashes.go
@@ -90,7 +90,15 @@
 
 	stop := make(chan struct{})
 	var writers sync.WaitGroup
-	writers.Add(1)
+	writers.Add(2)
+	go func() {
+		defer writers.Done()
+		every(30*time.Millisecond, stop, func(i int) {
+			r.send(r.gateways[i%len(r.gateways)], call{
+				label: "pledge-read", method: http.MethodGet, target: fmt.Sprintf("/status/%d", i), key: tenantKey, deadline: 1500 * time.Millisecond,
+			})
+		})
+	}()
 	go func() {
 		defer writers.Done()
 		every(150*time.Millisecond, stop, func(i int) {
@@ -101,18 +109,19 @@
 		})
 	}()
 	lookup := call{label: deadly, method: http.MethodGet, target: "/status/deadly", key: tenantKey, deadline: 1500 * time.Millisecond}
-	const visits, gap = 5, 2500 * time.Millisecond
+	const visits, gap = 2, 500 * time.Millisecond
 	r.sendDeadly(lookup, visits, gap)
 	for range 2 {
 		if r.trouble {
 			r.killAll(500*time.Millisecond, setting("SPARE", 0))
 		}
-		time.Sleep(stabilityWindow + 500*time.Millisecond)
+		time.Sleep(stabilityWindow + 200*time.Millisecond)
 		r.sendDeadly(lookup, visits, gap)
 	}
 	close(stop)
 	writers.Wait()
 	r.recordSound("pledge-write")
+	r.recordSound("pledge-read")
 	return r.judgeCrashes()
 }
 
@@ -203,7 +212,7 @@
 	callers.Add(1)
 	go func() {
 		defer callers.Done()
-		every(125*time.Millisecond, stop, func(i int) {
+		every(60*time.Millisecond, stop, func(i int) {
 			sound := draft
 			sound.label, sound.target, sound.body = "sound draft", "/drafts/2f", fmt.Sprintf("draft %d", i)
 			sound.header = map[string]string{
@@ -213,7 +222,7 @@
 			r.send(r.gateways[i%len(r.gateways)], sound)
 		})
 	}()
-	r.sendDeadly(draft, 10, 2500*time.Millisecond)
+	r.sendDeadly(draft, 8, 2200*time.Millisecond)
 	close(stop)
 	callers.Wait()
 	r.recordSound("sound draft")
