gateway: reject unknown keys once the last organisation is removed

Cause: the gateway looked at keys only while the configuration contained an organisation. The decision uses the request and the configuration alone, so gateways that restart or get the configuration from a peer agree. Ruled out: telling an empty list from an absent one, which the gob between gateways loses and which would still accept the keys if the list were absent.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -102,7 +102,7 @@
 	}
 	x.callerRetry = isCallerRetry(x.call.Remaining, x.route.Timeout)
 	var organisation *ingress.Organisation
-	if table.RequiresKey() && !x.route.Public {
+	if table.RequiresOrganisation(x.call.Key) && !x.route.Public {
 		if !fresh {
 			return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(g.staleDelay())
 		}
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -39,7 +39,9 @@
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
-			t.organisationsByKey[key] = &c.Organisations[i]
+			if key != "" { // Requests without a key belong to no organisation.
+				t.organisationsByKey[key] = &c.Organisations[i]
+			}
 		}
 	}
 	t.urgencies = urgenciesOf(c)
@@ -89,10 +91,13 @@
 // Services returns all services. The slice is shared and must not be changed.
 func (t *Table) Services() []Service { return t.config.Services }
 
-// RequiresKey reports whether requests need the key of an organisation, unless
-// their route is public. This is so once the configuration contains an
-// organisation.
-func (t *Table) RequiresKey() bool { return len(t.config.Organisations) > 0 }
+// RequiresOrganisation reports whether a request with the given key, empty if it has
+// none, must belong to an organisation, unless its route is public. Only a request
+// without a key need not, and only while the configuration contains no organisation: a key that
+// no organisation holds may have been revoked with the last one.
+func (t *Table) RequiresOrganisation(key string) bool {
+	return key != "" || len(t.config.Organisations) > 0
+}
 
 // Organisation returns the organisation to which key belongs, or nil if key is
 // unknown.
--- a/ingress/table_test.go
+++ b/ingress/table_test.go
@@ -42,7 +42,27 @@
 	table := newTable(t)
 	assert.Equal(t, table.Organisation("k2").Name, "north")
 	assert.Assert(t, table.Organisation("k3") == nil)
-	assert.Assert(t, table.RequiresKey())
+	assert.Assert(t, table.RequiresOrganisation(""))
+}
+
+// A configuration whose last organisation was removed must not accept the keys of that
+// organisation, nor keys that never existed.
+func TestNoKeyIsValidWithoutOrganisations(t *testing.T) {
+	for _, organisations := range [][]ingress.Organisation{nil, {}} {
+		table, err := ingress.NewTable(&ingress.Config{Organisations: organisations})
+		assert.NilError(t, err)
+		assert.Assert(t, table.RequiresOrganisation("k1"))
+		assert.Assert(t, table.Organisation("k1") == nil)
+		assert.Assert(t, !table.RequiresOrganisation(""), "requests without a key are admitted")
+	}
+}
+
+// An empty key in the configuration must not admit requests that have none.
+func TestEmptyKeyNamesNoOrganisation(t *testing.T) {
+	table, err := ingress.NewTable(&ingress.Config{Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"", "k1"}}}})
+	assert.NilError(t, err)
+	assert.Assert(t, table.RequiresOrganisation(""))
+	assert.Assert(t, table.Organisation("") == nil)
 }
 
 func TestRouteWithoutServiceIsRefused(t *testing.T) {
