quarantine: assume forgotten crashes after a loss of all gateways

Cause: only gateways know of crashes, and each new set of them started from nothing. A gateway that started beside others was told strikes of the last 10 s and held traits only, and recent strikes displaced held traits.

Gateways now know how far back their memory reaches, and tell it to one that starts. While it is shorter than the time for which three crashes hold a request (312 s), one crash holds it as long. The settings tell the first start of the system, when nothing was forgotten. A gateway that starts is told of held traits first, and of all strikes that still count. No process writes anything; a loss of all gateways costs one crash at most, which no memory in gateways alone can avoid.

The stand-in platform of the soak tells the first start from later ones.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,9 @@
 	// OnLimits is called with what the other gateways should be told of servers that limit
 	// their requests; it may be nil.
 	OnLimits func([]ratelimit.Statement)
+	// CrashMemoryStart is the time from which on the gateway hears of crashes of servers; zero
+	// if there were none before.
+	CrashMemoryStart time.Time
 	// Seed must differ between gateways.
 	Seed uint64
 	Log  *log.Logger
@@ -159,6 +162,7 @@
 		maxUnread:   defaultMaxUnread,
 		maxSilence:  defaultMaxSilence,
 	}
+	g.quarantine.SetStart(o.CrashMemoryStart)
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.callerConns = callerconn.NewSet(func() time.Duration {
 		if t := g.follower.Table(); t != nil {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -91,6 +91,19 @@
 	return g.quarantine.Active(time.Now())
 }
 
+// RememberedSuspicions returns what a gateway that has started should know of crashes, and for
+// how long this one has heard of all crashes, itself or through others.
+func (g *Gateway) RememberedSuspicions() (list []quarantine.Suspicion, memoryAge time.Duration) {
+	now := time.Now()
+	return g.quarantine.Remembered(now), g.quarantine.MemoryAge(now)
+}
+
+// ExtendCrashMemory records that another gateway, which has told what it knows, has heard of
+// all crashes for the given time.
+func (g *Gateway) ExtendCrashMemory(age time.Duration) {
+	g.quarantine.ExtendMemory(age, time.Now())
+}
+
 // attempt is an attempt at a request that may be repeated, until the first event or the
 // end of its answer.
 type attempt struct {
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -52,6 +52,9 @@
 	Memory Memory `yaml:"memory"`
 	Log    Log    `yaml:"log"`
 	Bounds Bounds `yaml:"bounds"`
+	// FirstStart says that the whole system starts for the first time, so that no process knew
+	// anything before that it may have forgotten.
+	FirstStart bool `yaml:"first_start"`
 }
 
 // Memory bounds what a gateway holds for callers and servers. Zero fields are set to their
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -51,6 +51,9 @@
 // again.
 func (e *demandExchange) tellActive(...mesh.Peer) {}
 
+// tellStarted does nothing, as for tellActive.
+func (e *demandExchange) tellStarted(mesh.Peer) {}
+
 // handle merges what another gateway tells.
 func (e *demandExchange) handle(_ mesh.Peer, packet *meshpb.Packet) {
 	if len(packet.Demand) > 0 {
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -77,6 +77,7 @@
 type mergedSuspicions struct{ gateway *gateway.Gateway }
 
 func (*mergedSuspicions) tellActive(...mesh.Peer) {}
+func (*mergedSuspicions) tellStarted(mesh.Peer)   {}
 
 func (m *mergedSuspicions) handle(_ mesh.Peer, packet *meshpb.Packet) {
 	if told := packet.GetSuspicions(); told != nil {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -125,6 +125,7 @@
 		OnLeaving:        tellGateways(meshNode),
 		OnSuspicions:     suspicions.tellAll,
 		OnLimits:         limits.tellAll,
+		CrashMemoryStart: crashMemoryStart(settings),
 		Seed:             seedFromName(settings.Name) ^ incarnation,
 		Log:              logger.Logger,
 	})
@@ -152,6 +153,15 @@
 	return gw.Serve(ctx)
 }
 
+// crashMemoryStart returns the time from which on a gateway that starts now hears of crashes
+// of servers; zero if there were none before.
+func crashMemoryStart(settings *config.Node) time.Time {
+	if settings.FirstStart {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 // peerAddresses returns functions for the addresses at which a gateway queries
 // other gateways, as far as the mesh knows them: all gateways, and the readers
 // of its zone, which read the store on its behalf.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -22,6 +22,8 @@
 type topic interface {
 	// tellActive tells other gateways again what they may have missed.
 	tellActive(to ...mesh.Peer)
+	// tellStarted tells a gateway that has started what this one knows.
+	tellStarted(to mesh.Peer)
 	// handle merges what another gateway tells.
 	handle(from mesh.Peer, packet *meshpb.Packet)
 }
@@ -48,8 +50,11 @@
 
 // handlePeerChange tells a gateway that has started what this one knows.
 func (g *gossip) handlePeerChange(p mesh.Peer, alive bool) {
-	if alive && p.Role == mesh.Gateway {
-		g.tellActive(p)
+	if !alive || p.Role != mesh.Gateway {
+		return
+	}
+	for _, t := range g.topics {
+		t.tellStarted(p)
 	}
 }
 
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -22,6 +22,9 @@
 	e.send(list, e.mesh.Peers(mesh.Gateway)...)
 }
 
+// tellStarted tells a gateway that has started what this one knows.
+func (e *limitExchange) tellStarted(to mesh.Peer) { e.tellActive(to) }
+
 // tellActive tells other gateways again what they may have missed.
 func (e *limitExchange) tellActive(to ...mesh.Peer) {
 	e.send(e.directory.ActiveLimits(time.Now()), to...)
--- a/internal/node/suspicions.go
+++ b/internal/node/suspicions.go
@@ -13,6 +13,10 @@
 // maxSuspicionsPerPacket keeps a packet within one frame of the network.
 const maxSuspicionsPerPacket = 10
 
+// maxMemoryMillis bounds the stated age of the memory of another gateway: longer than any
+// crash is remembered.
+const maxMemoryMillis = uint64(7 * 24 * time.Hour / time.Millisecond)
+
 // suspicionExchange exchanges with other gateways what each knows of requests under which
 // servers crashed. It is safe for concurrent use once its fields are set.
 type suspicionExchange struct {
@@ -30,6 +34,14 @@
 	e.send(e.gateway.ActiveSuspicions(), false, to...)
 }
 
+// tellStarted tells a gateway that has started what this one knows, also that it knows nothing.
+func (e *suspicionExchange) tellStarted(to mesh.Peer) {
+	list, memoryAge := e.gateway.RememberedSuspicions()
+	e.send(list, false, to)
+	// The age comes last: it says that what was sent is complete.
+	e.mesh.Send(&meshpb.Packet{Suspicions: &meshpb.Suspicions{MemoryMs: uint64(memoryAge.Milliseconds())}}, to)
+}
+
 // handle merges what another gateway tells, and answers with what that one does not know.
 // What was learned from an answer is told to all, as they were told the suspicion.
 func (e *suspicionExchange) handle(from mesh.Peer, packet *meshpb.Packet) {
@@ -38,6 +50,7 @@
 		return
 	}
 	answers, learned := e.gateway.MergeSuspicions(suspicionsFromProto(told.Suspicions))
+	e.gateway.ExtendCrashMemory(time.Duration(min(told.MemoryMs, maxMemoryMillis)) * time.Millisecond)
 	if told.Answer {
 		e.tellAll(learned)
 		return
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,5 +9,8 @@
 // its request.
 //
 // Processes exchange what they know as Suspicions, which may be merged in any order and
-// more than once. The package does no I/O and reads no clock.
+// more than once. A process that starts is told by the others. If none of them knows of
+// the time before, because all were killed together, a whole request is held from its
+// first strike on: what it did before may have been forgotten.
+// The package does no I/O and reads no clock.
 package quarantine
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -22,8 +22,11 @@
 type Registry struct {
 	seed uint64
 
-	mu       sync.Mutex
-	suspects map[Trait]*suspect
+	mu sync.Mutex
+	// memoryStart is the time from which on the process has heard of all crashes, itself or
+	// through others; zero if it has missed none.
+	memoryStart time.Time
+	suspects    map[Trait]*suspect
 	// completions and olderCompletions hold when an answer with a trait was last
 	// completed. Once completions is full it replaces olderCompletions.
 	completions, olderCompletions map[Trait]time.Time
@@ -35,6 +38,41 @@
 	return &Registry{seed: seed, suspects: make(map[Trait]*suspect), completions: make(map[Trait]time.Time)}
 }
 
+// SetStart sets the time from which on the process hears of crashes; zero, as in a new
+// Registry, if there were none before.
+func (r *Registry) SetStart(start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.memoryStart = start
+}
+
+// MemoryAge returns for how long the process has heard of all crashes, itself or through
+// others; at most strikeTTL.
+func (r *Registry) MemoryAge(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.memoryStart.IsZero() {
+		return strikeTTL
+	}
+	return max(0, min(strikeTTL, now.Sub(r.memoryStart)))
+}
+
+// ExtendMemory records that another process, which has told what it knows, has heard of all
+// crashes for the given time.
+func (r *Registry) ExtendMemory(age time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if start := now.Add(-min(age, strikeTTL)); start.Before(r.memoryStart) {
+		r.memoryStart = start
+	}
+}
+
+// hasForgotten reports whether strikes that still mattered may have been forgotten when the
+// oldest live one was recorded. The caller holds the lock.
+func (r *Registry) hasForgotten(live []Strike) bool {
+	return len(live) > 0 && !r.memoryStart.IsZero() && live[0].At.Sub(r.memoryStart) < fullMemory
+}
+
 // Decision says whether a request may be sent.
 type Decision struct {
 	// Held says that the request must not be sent.
@@ -63,11 +101,12 @@
 			continue
 		}
 		live := s.live(now)
-		if !s.held(t.Kind, live) {
+		forgotten := r.hasForgotten(live)
+		if !s.held(t.Kind, live, forgotten) {
 			continue
 		}
 		held[t] = s
-		if next := s.probeFrom(live, r.jitter(t)); next.After(from) {
+		if next := s.probeFrom(t.Kind, live, forgotten, r.jitter(t)); next.After(from) {
 			from = next
 		}
 	}
@@ -105,7 +144,11 @@
 // holds implements Holds. The caller holds the lock.
 func (r *Registry) holds(t Trait, now time.Time) bool {
 	s := r.suspects[t]
-	return s != nil && s.held(t.Kind, s.live(now))
+	if s == nil {
+		return false
+	}
+	live := s.live(now)
+	return s.held(t.Kind, live, r.hasForgotten(live))
 }
 
 // Known reports whether answers with all the traits have been completed lately.
@@ -215,8 +258,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := 0
-	for t, s := range r.suspects {
-		if s.held(t.Kind, s.live(now)) {
+	for t := range r.suspects {
+		if r.holds(t, now) {
 			count++
 		}
 	}
@@ -241,6 +284,6 @@
 func (r *Registry) expire(now time.Time) {
 	maps.DeleteFunc(r.suspects, func(t Trait, s *suspect) bool {
 		live := s.live(now)
-		return len(live) == 0 || !s.held(t.Kind, live) && now.Sub(live[len(live)-1].At) >= forgetAfter
+		return len(live) == 0 || !r.holds(t, now) && now.Sub(live[len(live)-1].At) >= forgetAfter
 	})
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -16,6 +16,9 @@
 	unknownStrikes = 2
 	// repeatStrikes is the number of strikes after which a whole request is held.
 	repeatStrikes = 3
+	// fullMemory is how long a process must have heard of crashes until none that it missed
+	// matters: a request with repeatStrikes strikes would have been admitted again by then.
+	fullMemory = firstHold * holdFactor * holdFactor * 13 / 10
 	// knownMemory is how long before a strike a completed answer still counts.
 	knownMemory = 10 * time.Minute
 	// firstHold is how long a trait is held after one strike. Each further strike
@@ -110,12 +113,13 @@
 }
 
 // held reports whether requests with the trait are held because of the live strikes.
-func (s *suspect) held(kind Kind, live []Strike) bool {
+// forgotten says that there may have been others, which are not known any more.
+func (s *suspect) held(kind Kind, live []Strike, forgotten bool) bool {
 	switch {
 	case len(live) == 0:
 		return false
 	case kind == WholeRequest:
-		return len(live) >= repeatStrikes
+		return forgotten || len(live) >= repeatStrikes
 	case !s.completedAt.IsZero() && live[0].At.Sub(s.completedAt) < knownMemory:
 		return spacedStrikes(live) >= establishedStrikes
 	}
@@ -136,11 +140,15 @@
 	return count
 }
 
-// probeFrom returns when the next request with the trait may be admitted. jitter, in
-// [0, 1), is different in each process.
-func (s *suspect) probeFrom(live []Strike, jitter float64) time.Time {
+// probeFrom returns when the next request with the trait may be admitted. forgotten is as for
+// held. jitter, in [0, 1), is different in each process.
+func (s *suspect) probeFrom(kind Kind, live []Strike, forgotten bool, jitter float64) time.Time {
+	strikes := len(live)
+	if kind == WholeRequest && forgotten {
+		strikes += repeatStrikes - 1
+	}
 	hold := firstHold
-	for range len(live) - 1 {
+	for range strikes - 1 {
 		hold = min(maxHold, holdFactor*hold)
 	}
 	hold += time.Duration(holdJitter * jitter * float64(hold))
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -98,20 +98,38 @@
 }
 
 // Active returns what this process knows of at most maxActive traits that are held or
-// were struck lately, the latest strikes first, for processes that missed it. It forgets
-// the traits whose strikes no longer matter.
+// were struck lately, for processes that missed it. Traits that are held come first, and of
+// those the ones with the latest strikes.
 func (r *Registry) Active(now time.Time) []Suspicion {
+	return r.strikesSince(now.Add(-recentStrike), now)
+}
+
+// Remembered is like Active for a process that has started and knows nothing: it includes
+// traits that were struck earlier and are not held yet.
+func (r *Registry) Remembered(now time.Time) []Suspicion { return r.strikesSince(time.Time{}, now) }
+
+// strikesSince returns what this process knows of at most maxActive traits that are held or
+// were struck after since. It forgets the traits whose strikes no longer matter.
+func (r *Registry) strikesSince(since, now time.Time) []Suspicion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
 	var active []Suspicion
 	for t, s := range r.suspects {
 		live := s.live(now)
-		if len(live) > 0 && (s.held(t.Kind, live) || now.Sub(live[len(live)-1].At) < recentStrike) {
+		if len(live) > 0 && (r.holds(t, now) || live[len(live)-1].At.After(since)) {
 			active = append(active, suspicion(t, s, now))
 		}
 	}
-	slices.SortFunc(active, func(a, b Suspicion) int { return cmp.Compare(latestAge(&a), latestAge(&b)) })
+	slices.SortFunc(active, func(a, b Suspicion) int {
+		if heldA, heldB := r.holds(a.Trait, now), r.holds(b.Trait, now); heldA != heldB {
+			if heldA {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(latestAge(&a), latestAge(&b))
+	})
 	return active[:min(len(active), maxActive)]
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -27,13 +27,20 @@
 	exited     chan struct{}
 }
 
-func newProcess(daemon, role, dir string, settings config.Node) (*process, error) {
-	p := &process{daemon: daemon, role: role, dir: dir, settings: settings}
+func newProcess(daemon, role, dir string, settings config.Node) *process {
+	return &process{daemon: daemon, role: role, dir: dir, settings: settings}
+}
+
+// writeSettings writes the settings file. Like the platform, it tells a process that starts
+// again that the system ran before.
+func (p *process) writeSettings() error {
+	settings := p.settings
+	settings.FirstStart = p.startCount == 0
 	text, err := yaml.Marshal(settings)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return p, os.WriteFile(p.path(".yaml"), text, 0o600)
+	return os.WriteFile(p.path(".yaml"), text, 0o600)
 }
 
 func (p *process) path(suffix string) string { return filepath.Join(p.dir, p.settings.Name+suffix) }
@@ -45,6 +52,9 @@
 	if p.cmd != nil {
 		return nil
 	}
+	if err := p.writeSettings(); err != nil {
+		return err
+	}
 	out, err := os.OpenFile(p.path(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -311,10 +311,7 @@
 		}
 		settings.Store = link.address()
 		settings.Seeds = r.seedAddresses()
-		p, err := newProcess(daemon, "gateway", dir, settings)
-		if err != nil {
-			return err
-		}
+		p := newProcess(daemon, "gateway", dir, settings)
 		r.gateways = append(r.gateways, &gatewayProcess{process: p, callersAddress: settings.Callers, readyAddress: settings.Ready, storeLink: link})
 	}
 	return startAll(r.processes())
@@ -365,11 +362,7 @@
 			Store: r.gateways[0].settings.Store, Server: rank.address, Service: modelService, Bounds: bounds,
 			Log: config.Log{Level: config.DefaultLogLevel},
 		}
-		p, err := newProcess(daemon, "rank-agent", dir, settings)
-		if err != nil {
-			return err
-		}
-		r.agents = append(r.agents, p)
+		r.agents = append(r.agents, newProcess(daemon, "rank-agent", dir, settings))
 	}
 	return startAll(r.agents)
 }
