gateway: count crashes of servers past the beginning of an answer

Cause: attempts with two events were no suspects, and streams of which the caller had two events passed the quarantine. Now each attempt that its server breaks off is watched. Past the beginning, a crash is a strike of the whole request and a weaker one of its parts, and only a request that the next crash would hold waits for the confirmation, so that the other streams of the server are resumed at once. A held stream is neither resumed nor given a standby.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -47,7 +47,7 @@
 	// although it had not failed.
 	serverGivenUp bool
 	// crashKnown is closed once it is known whether the server of the last attempt
-	// crashed; nil if the attempt did not break off at its beginning.
+	// crashed; nil if the request need not wait for that.
 	crashKnown <-chan struct{}
 
 	// standby is the attempt that is made beside the current one; nil if there is
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// provenEvents is the number of events of a stream after which its request is no
-	// suspect if the server crashes: the server had survived the beginning of the answer.
+	// provenEvents is the number of events of a stream after which its answer is past its
+	// beginning. A server that crashes later is less of a sign against the request: all
+	// streams that it runs share the crash.
 	provenEvents = 2
 	// crashConfirmTimeout is how long after a connection broke it may turn out that the
 	// server crashed, and crashPollInterval the interval at which that is checked.
@@ -26,12 +27,12 @@
 	crashPollInterval   = 20 * time.Millisecond
 )
 
-// brokenAttempt is an attempt whose server closed or reset the connection at the
-// beginning of its answer.
+// brokenAttempt is an attempt whose server closed or reset the connection before the end of
+// its answer.
 type brokenAttempt struct {
 	server backends.Server
 	at     time.Time
-	// begun says that the server had begun to answer.
+	// begun says that the server had begun to answer, and was not past the beginning.
 	begun  bool
 	call   Call
 	traits []quarantine.Trait
@@ -48,15 +49,18 @@
 	return false
 }
 
-// watchBroken watches whether the server of an attempt that failed with err has crashed,
-// unless the answer was past its beginning.
+// watchBroken watches whether the server of an attempt that failed with err has crashed.
+// begun says that the server had begun to answer.
 func (x *exchange) watchBroken(choice *backends.Choice, err error, begun bool) {
-	if x.attemptEvents >= provenEvents || !closedByServer(err) {
+	if !closedByServer(err) {
 		return
 	}
-	broken := brokenAttempt{server: choice.Server, at: time.Now(), begun: begun, call: x.call, traits: x.traits}
+	pastBeginning := x.attemptEvents >= provenEvents
+	broken := brokenAttempt{server: choice.Server, at: time.Now(), begun: begun && !pastBeginning, call: x.call, traits: x.traits}
 	ctx, known := context.WithCancel(context.Background())
-	x.crashKnown = ctx.Done()
+	if x.waitsForCrash(pastBeginning, broken.at) {
+		x.crashKnown = ctx.Done()
+	}
 	go func() {
 		defer known()
 		if err := panics.Do("confirming a crash", func() { x.g.confirmCrash(&broken, known) }); err != nil {
@@ -65,6 +69,17 @@
 	}()
 }
 
+// waitsForCrash reports whether the request, the answer to which broke off at now, must not be
+// sent on before it is known whether the server crashed: if that would hold the request. Of
+// requests that share parts, all of which are known from completed answers, and of those
+// whose answer was past its beginning, the parts are not held for one crash.
+func (x *exchange) waitsForCrash(pastBeginning bool, now time.Time) bool {
+	if x.g.quarantine.NextCrashHolds(x.traits, now) {
+		return true
+	}
+	return !pastBeginning && (x.isProbe || !x.sharesKnownParts())
+}
+
 // confirmCrash waits until it is known whether the server has crashed, and records what it
 // has found. It calls known as soon as the request need not wait any longer.
 func (g *Gateway) confirmCrash(broken *brokenAttempt, known func()) {
@@ -127,7 +142,7 @@
 	return backends.CrashRuledOut
 }
 
-// recordCrash records that a server crashed at the beginning of the answer to a call.
+// recordCrash records that a server crashed before the end of the answer to a call.
 func (g *Gateway) recordCrash(broken *brokenAttempt) {
 	now := time.Now()
 	strike := quarantine.Strike{Server: hashServer(&broken.server), At: broken.at, Begun: broken.begun}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"bluebellwind.example/backends"
+	"bluebellwind.example/quarantine"
 )
 
 const (
@@ -240,3 +241,73 @@
 	assert.Equal(t, h.gateway.quarantine.HeldCount(time.Now()), 0)
 	assert.Assert(t, strings.Contains(h.logLines("1"), "event=server_not_crashed"))
 }
+
+// streamsThatCrashLate adds servers without agents whose streams of 12 events go on after the
+// last event that the caller has. The servers crash after the given number of events of a
+// stream whose request has the Parts header "deadly". crashes counts these.
+func streamsThatCrashLate(h *harness, count, events int) (crashes *atomic.Int64) {
+	crashes = &atomic.Int64{}
+	for i := range count {
+		h.addRestartingServer(fmt.Sprint("p", i), func(c net.Conn, r *http.Request) (crash bool) {
+			first := 1
+			if _, err := fmt.Sscan(r.Header.Get("Last"), &first); err == nil {
+				first++
+			}
+			if r.Header.Get("Parts") == "deadly" {
+				writeEvents(c, r, first, first+events-1, false)
+				time.Sleep(20 * time.Millisecond)
+				crashes.Add(1)
+				return true
+			}
+			writeEvents(c, r, first, 12, true)
+			return false
+		})
+	}
+	return crashes
+}
+
+// A stream that crashed its servers after its beginning was never held: each attempt of the
+// caller crashed two servers.
+func TestStreamThatCrashesServersAfterItsBeginningIsStopped(t *testing.T) {
+	for _, events := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint(events, " events"), func(t *testing.T) {
+			h := newHarness(t)
+			crashes := streamsThatCrashLate(h, 6, events)
+			h.start()
+			for i := range 6 {
+				_ = h.send("/stream/x", "Id", fmt.Sprint(i), "Parts", "deadly")
+				time.Sleep(serverRestartTime)
+			}
+			assert.Check(t, crashes.Load() <= 3, "%d servers crashed", crashes.Load())
+			assert.Equal(t, h.send("/stream/y", "Parts", "sound").body, eventText(1, 12))
+		})
+	}
+}
+
+// A stream whose server crashes once, for whatever reason, must go on at another server at
+// once, also if requests with a part of its prompt are held.
+func TestStreamPastItsBeginningGoesOnAfterACrash(t *testing.T) {
+	h := newHarness(t)
+	var crashed atomic.Bool
+	for i := range 2 {
+		h.addRestartingServer(fmt.Sprint("p", i), func(c net.Conn, r *http.Request) (crash bool) {
+			if crashed.CompareAndSwap(false, true) {
+				writeEvents(c, r, 1, 5, false)
+				time.Sleep(20 * time.Millisecond)
+				return true
+			}
+			writeEvents(c, r, 6, 12, true)
+			return false
+		})
+	}
+	h.start()
+	part := (&Call{SharedParts: []string{"shared"}}).partTraits()
+	now := time.Now()
+	h.gateway.quarantine.RecordCrash(part, quarantine.Strike{Server: 1, At: now}, now)
+	time.AfterFunc(10*time.Millisecond, func() {
+		h.gateway.quarantine.RecordCrash(part, quarantine.Strike{Server: 2, At: now}, now)
+	})
+	got := h.send("/stream/x", "Parts", "shared")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 12))
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -77,7 +77,7 @@
 	if x.retryDenial(result) == "" {
 		x.awaitCrashConfirmation()
 	}
-	if x.eventCount < provenEvents && x.g.quarantine.HoldsAny(x.traits, time.Now()) {
+	if x.g.quarantine.HoldsAny(x.holdingTraits(), time.Now()) {
 		x.g.logFailedAttempt(x, x.choice, "no_retry", "the request is held")
 		x.refuseOrAbort(x.quarantineRefusal(x.g.refusalDelay()))
 		return false
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,10 +21,7 @@
 // checkQuarantine returns a refusal if the request must not be sent, because of crashes
 // under requests with the same traits.
 func (x *exchange) checkQuarantine() *verdict.Error {
-	if x.eventCount >= provenEvents {
-		return nil
-	}
-	d := x.g.quarantine.Decide(x.traits, time.Now())
+	d := x.g.quarantine.Decide(x.holdingTraits(), time.Now())
 	x.g.tellSuspicions(d.Changed)
 	if d.Held {
 		return x.quarantineRefusal(d.RetryAfter)
@@ -37,17 +34,37 @@
 	return nil
 }
 
+// holdingTraits returns the traits because of which the request may be held now: all of them,
+// but only the whole request once its answer is past its beginning, which it would not be if
+// one of its parts crashed servers as they begin to answer.
+func (x *exchange) holdingTraits() []quarantine.Trait {
+	if x.eventCount >= provenEvents {
+		return wholeTraits(x.traits)
+	}
+	return x.traits
+}
+
+// wholeTraits returns those of the traits that only repeats of the request share.
+func wholeTraits(traits []quarantine.Trait) []quarantine.Trait {
+	var whole []quarantine.Trait
+	for _, t := range traits {
+		if t.Kind == quarantine.WholeRequest {
+			whole = append(whole, t)
+		}
+	}
+	return whole
+}
+
 func (x *exchange) quarantineRefusal(retryAfter time.Duration) *verdict.Error {
 	return verdict.Refuse(verdict.Quarantined, x.verdict(), "requests like this one crash their servers").WithRetryAfter(retryAfter)
 }
 
-// awaitCrashConfirmation waits, after an attempt broke off at its beginning, until it is
-// known whether the server crashed. Requests that share parts, all of which are known from
-// completed answers, do not wait.
+// awaitCrashConfirmation waits, after an attempt broke off, until it is known whether the
+// server crashed, if that may hold the request.
 func (x *exchange) awaitCrashConfirmation() {
 	known := x.crashKnown
 	x.crashKnown = nil
-	if known == nil || !x.isProbe && x.sharesKnownParts() {
+	if known == nil {
 		return
 	}
 	timeout := time.NewTimer(crashRetryWait)
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -43,7 +43,7 @@
 // allows it. silent is the server of the current attempt.
 func (x *exchange) startStandby(silent *backends.Choice) {
 	x.markTried(silent)
-	if x.isProbe || x.g.quarantine.HoldsAny(x.traits, time.Now()) {
+	if x.isProbe || x.g.quarantine.HoldsAny(x.holdingTraits(), time.Now()) {
 		x.standbyNotBefore = time.Now().Add(standbyRetryInterval)
 		return
 	}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -151,6 +151,26 @@
 	return s.held(t.Kind, live, r.hasForgotten(live))
 }
 
+// NextCrashHolds reports whether another crash under a request would make it held because of
+// one of the traits of the whole request.
+func (r *Registry) NextCrashHolds(traits []Trait, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range traits {
+		if t.Kind != WholeRequest {
+			continue
+		}
+		next := []Strike{{At: now}}
+		if s := r.suspects[t]; s != nil {
+			next = append(s.live(now), next...)
+		}
+		if len(next) >= repeatStrikes || r.hasForgotten(next) {
+			return true
+		}
+	}
+	return false
+}
+
 // Known reports whether answers with all the traits have been completed lately.
 func (r *Registry) Known(traits []Trait, now time.Time) bool {
 	r.mu.Lock()
