discovery: do not use servers whose published properties are out of range

Callers got 503 where another writer had left entries with ports, slots, starts or groups out of range among those of the servers: gateways tried them in place of servers (report of other operators; no process ended, and all went on following the list).

Cause: an entry was invalid only if a field was missing or undecodable.

--- a/backends/published.go
+++ b/backends/published.go
@@ -67,23 +67,24 @@
 	return h.Sum64()
 }
 
-// Remove removes a server. With a grace period, a server that is not draining can
-// still be chosen for that long, and stays if it is published again.
-func (d *Directory) Remove(id string, grace time.Duration, now time.Time) {
+// Remove removes a server, and reports whether it was known. With a grace period, a server
+// that is not draining can still be chosen for that long, and stays if it is published again.
+func (d *Directory) Remove(id string, grace time.Duration, now time.Time) (known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.heldBack, id)
 	e := d.servers[id]
 	if e == nil {
-		return
+		return false
 	}
 	if grace > 0 && !e.Draining {
 		if e.expiresAt.IsZero() {
 			e.expiresAt = now.Add(grace)
 		}
-		return
+		return true
 	}
 	d.drop(e, now)
+	return true
 }
 
 // Replace sets the published servers. Servers that are missing from the list are
--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -114,10 +114,12 @@
 	}
 	now := time.Now()
 	for _, id := range c.Removed {
-		f.directory.Remove(id, f.removalGrace(now), now)
-		f.logServer(id, "removed")
+		if f.directory.Remove(id, f.removalGrace(now), now) {
+			changed = true
+			f.logServer(id, "removed")
+		}
 	}
-	return changed || len(c.Removed) > 0
+	return changed
 }
 
 func (f *Follower) logServer(id, change string) {
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -101,6 +101,8 @@
 	unknownZones logging.Once
 	// unknownRegions are the regions of configurations that were logged as unknown.
 	unknownRegions logging.Once
+	// unusableServers are the IDs of servers of peers that were logged as out of range.
+	unusableServers logging.Once
 
 	mu sync.Mutex
 	// usingReaders reports whether readers of the zone keep the proof fresh, so
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -241,6 +242,13 @@
 			return err
 		}
 	}
+	servers = slices.DeleteFunc(servers, func(s backends.Server) bool {
+		err := s.Validate()
+		if err != nil && f.unusableServers.First(s.ID) {
+			f.log.Warn().Str("event", "server_unreadable").Str("server", fmt.Sprintf("%.128q", s.ID)).Str("cause", err.Error()).Msg("")
+		}
+		return err != nil
+	})
 	f.applyPeerZones(reply, provenAt)
 	if len(reply.Servers) == 0 {
 		return nil
--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -18,6 +18,7 @@
 	r, err := newTestbed(t.Context(), buildDaemon(t), logDir(t, t.Name()), int(time.Now().UnixNano()%1000), size)
 	assert.NilError(t, err)
 	t.Cleanup(r.close)
+	go heartbeat(t.Context(), r.store, r.plainServers[0].entry)
 	r.changeConfig()
 	r.awaitAllReady(t)
 	return r
