platform: leave out odd elements of the instance list

Entries and agents stopped following the instance list while another writer had left one element in it that was nested deeply, had a number too large or a field of another type; a new agent was not found in a minute.

Cause: the list was decoded as one value.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -113,7 +113,11 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform: %s: status %d", path, res.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(out); err != nil {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	if err != nil {
+		return fmt.Errorf("platform: %s: %w", path, err)
+	}
+	if err := json.Unmarshal(pruneDeep(body), out); err != nil {
 		return fmt.Errorf("platform: %s: %w", path, err)
 	}
 	return nil
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -13,5 +13,9 @@
 
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	if text, ok := v.(json.RawMessage); ok {
+		_, _ = w.Write(text) // As below. The encoder rejects texts that are nested deeply.
+		return
+	}
 	_ = json.NewEncoder(w).Encode(v) // An error means that the caller has disconnected.
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,9 +24,11 @@
 	mu        sync.Mutex
 	values    map[string]platform.Value
 	instances platform.InstanceList
-	changed   chan struct{}
-	down      bool
-	reads     int
+	// oddInstances are JSON texts that are served with the instances.
+	oddInstances []string
+	changed      chan struct{}
+	down         bool
+	reads        int
 }
 
 // NewPlatform returns an empty platform.
@@ -51,6 +55,27 @@
 	p.notifyWatches()
 }
 
+// AddToInstances adds JSON texts to the served instance list, as another writer may.
+func (p *Platform) AddToInstances(elements ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oddInstances = append(p.oddInstances, elements...)
+}
+
+// instanceList returns the served instance list. The caller holds mu.
+func (p *Platform) instanceList() json.RawMessage {
+	var elements []string
+	for _, instance := range p.instances.Instances {
+		text, err := json.Marshal(instance)
+		if err != nil {
+			panic(err) // Cannot happen: each instance has a JSON form.
+		}
+		elements = append(elements, string(text))
+	}
+	elements = append(append([]string{}, p.oddInstances...), elements...)
+	return json.RawMessage(fmt.Sprintf(`{"revision":%d,"instances":[%s]}`, p.instances.Revision, strings.Join(elements, ",")))
+}
+
 // SetInstances sets the instance list.
 func (p *Platform) SetInstances(list []platform.Instance) {
 	p.mu.Lock()
@@ -90,7 +115,7 @@
 		})
 	})
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
-		p.serveRead(w, r, func() (any, int64, bool) { return p.instances, p.instances.Revision, true })
+		p.serveRead(w, r, func() (any, int64, bool) { return p.instanceList(), p.instances.Revision, true })
 	})
 	mux.HandleFunc("PUT /operator/config/{key}", func(w http.ResponseWriter, r *http.Request) {
 		body, err := readBody(r)
