gateway: refuse requests whose bodies arrive too late in a drain

Cause: whether a request may outlast the drain was decided when its header had arrived. It is decided again before the request is first sent to a server, so that it is refused without having run.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,6 +30,10 @@
 func (x *exchange) run() {
 	defer x.endStandby()
 	for {
+		if refusal := x.checkDrain(); refusal != nil { // Its body may have arrived late in the drain.
+			x.refuseOrAbort(refusal)
+			return
+		}
 		if refusal := x.checkQuarantine(); refusal != nil {
 			x.refuseOrAbort(refusal)
 			return
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -118,13 +118,23 @@
 	x.priority = table.Priority(x.serviceName, x.route, organisation, admission.Priorities)
 	x.serverPriority = serverPriority(x.priority, x.callerRetry)
 	x.deadline = requestDeadline(x.arrived, x.route, x.call.Remaining)
-	if end := g.drainEnd.Load(); end != nil && (x.deadline.IsZero() || x.deadline.After(*end)) {
-		return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the gateway stops").WithRetryAfter(g.staleDelay())
+	if refusal := x.checkDrain(); refusal != nil {
+		return refusal
 	}
 	x.startAfter(x.call.LastEventID)
 	return nil
 }
 
+// checkDrain returns a refusal if the gateway stops and the request, unless it has been sent to
+// a server, may last longer than the drain: it would be cut at its end.
+func (x *exchange) checkDrain() *verdict.Error {
+	end := x.g.drainEnd.Load()
+	if end == nil || x.sendCount > 0 || !x.deadline.IsZero() && !x.deadline.After(*end) {
+		return nil
+	}
+	return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the gateway stops").WithRetryAfter(x.g.staleDelay())
+}
+
 // readBody reads the body of a request up to the size limit. It returns a refusal
 // if it cannot. The caller must release the memory of the body.
 func (x *exchange) readBody() (buffer, *verdict.Error) {
