entry: answer the requests that are open at the end of a drain

Callers of a stopping entry whose requests came late were cut without an answer: the entry passed on whatever it read during the drain and closed the connections that were left at its end.

It now refuses, as not run, requests that may last longer than the drain, and ends the open ones 0.3 s before its end, so that their callers are told that they may have run.

TestRequestsLateInTheDrainOfAnEntryAreAnswered (two processes) got an unexpected EOF before.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -95,7 +95,8 @@
 	authority       *keytest.Authority
 	ticketSecret    string
 	instances       []platform.Instance
-	slots           int // Slots of each agent; 0 for the default.
+	slots           int           // Slots of each agent; 0 for the default.
+	drainTimeout    time.Duration // That of each process; 0 for the default.
 	processes       map[string]*process
 	callerAddresses map[string]string // Address for callers, by name.
 	adminAddresses  map[string]string
@@ -129,6 +130,9 @@
 	s.Keys = config.Keys{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key, Ticket: c.ticketSecret}
 	s.Platform.URL = c.platformURL
 	s.JoinTimeout = config.Duration(200 * time.Millisecond)
+	if c.drainTimeout > 0 {
+		s.DrainTimeout = config.Duration(c.drainTimeout)
+	}
 	return &s
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -37,6 +38,7 @@
 	"bluebellwind.example/membership"
 	"bluebellwind.example/once"
 	"bluebellwind.example/routing/retry"
+	"bluebellwind.example/verdict"
 	"bluebellwind.example/wire"
 )
 
@@ -72,6 +74,12 @@
 	quota   *quota
 	operatorAccess
 
+	// drainEnd is when the drain ends; nil until no more connections are accepted. ending is
+	// canceled by endRequests shortly before, when requests must be answered at once.
+	drainEnd    atomic.Pointer[time.Time]
+	ending      context.Context
+	endRequests context.CancelFunc
+
 	mu             sync.Mutex // Guards the fields below.
 	draining       bool
 	activeRequests int
@@ -115,6 +123,7 @@
 		runner:         &attemptRunner{pool: agentPool, directory: directory, crashes: crashes},
 		operatorAccess: newOperatorAccess(),
 	}
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.picker = newPicker(directory, settings.Zone, incarnation, e)
 	return e, nil
 }
@@ -268,9 +277,14 @@
 	}
 }
 
+// lastAnswersTime is how long before the end of a drain the requests that are still open are
+// ended, so that their callers get an answer.
+const lastAnswersTime = 300 * time.Millisecond
+
 // drain fails the readiness check, waits for the drain delay of the settings,
-// stops accepting connections, and lets requests in progress finish. It closes the
-// connections that remain after the drain timeout of the settings.
+// stops accepting connections, and lets requests in progress finish. From then on it refuses
+// requests that may last longer than the drain. It answers the requests that are open shortly
+// before the end, and closes the connections that remain after the drain timeout of the settings.
 func (e *Entry) drain(server *http.Server, conns *callerconn.Set, stopAccepting func()) {
 	e.mu.Lock()
 	e.draining = true
@@ -279,6 +293,8 @@
 	e.log.Info().Str("event", "drain_started").Int("active", e.activeCount()).Msg("")
 	time.Sleep(e.settings.Entry.DrainDelay.Std()) // The platform's load balancer sends requests here until it sees the failed readiness check.
 	end := time.Now().Add(e.settings.DrainTimeout.Std())
+	e.drainEnd.Store(&end)
+	defer time.AfterFunc(time.Until(end)-lastAnswersTime, e.endRequests).Stop()
 	stopAccepting()
 	conns.Stop()
 	conns.AwaitEmpty(time.Until(end)) // Shutdown would drop requests that have just been read.
@@ -298,6 +314,31 @@
 	e.log.Info().Str("event", "drained").Msg("")
 }
 
+// checkDrain returns a refusal if the entry drains and a request with this deadline, which no
+// server has got, may last longer: it would be cut at the end.
+func (e *Entry) checkDrain(deadline time.Time) error {
+	end := e.drainEnd.Load()
+	if end == nil || !deadline.After(*end) {
+		return nil
+	}
+	return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the entry stops").WithRetryAfter(stoppingRetryAfter)
+}
+
+// stoppingRetryAfter is when a caller that is refused by a stopping entry may come back: the
+// platform's load balancer leads it to another one.
+const stoppingRetryAfter = 100 * time.Millisecond
+
+// requestContext returns a context that ends with parent, at the deadline, and when the
+// requests that are open have to end because the entry stops.
+func (e *Entry) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(parent, deadline)
+	detach := context.AfterFunc(e.ending, cancel)
+	return ctx, func() {
+		detach()
+		cancel()
+	}
+}
+
 // beginRequest counts a request as active. It returns false while the entry
 // drains: the request is still served, but its connection is closed afterwards.
 func (e *Entry) beginRequest() bool {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -118,6 +118,9 @@
 	if !ok {
 		return verdict.Refuse(verdict.NoRoute, verdict.NotRun, "no rule leads to this model for this organisation")
 	}
+	if err := e.checkDrain(e.deadlineOf(ex.opts, decision)); err != nil {
+		return err
+	}
 	if err := e.quota.admit(ex.organisation.Name, time.Now()); err != nil {
 		return err
 	}
@@ -125,7 +128,7 @@
 	req := e.newRoutedRequest(ex, decision, body, c.Request())
 	req.startTemplate.Stream = chatReq.Stream
 	req.fingerprint = e.crashes.fingerprintOf(ex.organisation.Name, body)
-	ctx, cancel := context.WithDeadline(c.Request().Context(), req.deadline)
+	ctx, cancel := e.requestContext(c.Request().Context(), req.deadline)
 	defer cancel()
 	return e.dispatch(ctx, req, ex.out)
 }
@@ -146,8 +149,11 @@
 	if err != nil {
 		return e.withTicketVerdict(ex, err)
 	}
+	if err := e.checkDrain(e.deadlineOf(ex.opts, decision)); err != nil {
+		return e.withTicketVerdict(ex, err)
+	}
 	req := e.newRoutedRequest(ex, decision, body, r)
-	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	ctx, cancel := e.requestContext(r.Context(), req.deadline)
 	defer cancel()
 	if decision.AtMostOnce {
 		return e.serveOnce(ctx, ex, req)
