agent: bound the headers that engines send

An engine that sent a head without end made its agent hold 1,038 MB with 64 callers; on an instance of 152 MB the agent ends, and the requests of all others with it (report of other operators).

Cause: the HTTP clients of the agent, of the ranks and of the platform had the library's bound of 10 MB for each header.

TestEngineThatSendsBytesWithoutEndUsesUpNoMemory failed before. Gateways and rank agents bear 14 kinds of endless answers from servers, store and peers as they were: TestGatewaysBearServersThatSendBytesWithoutEnd and TestReadersBearBytesWithoutEnd passed without a change.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -19,6 +19,9 @@
 	requestIDHeader    = "X-Request-Id"
 	backendDialTimeout = 2 * time.Second
 	backendIdleTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the header of a response, which is kept in memory: a faulty server
+	// may send one without end.
+	maxHeaderBytes = 64 << 10
 	// engineRetryAfter is the retry delay that a caller gets when an engine does
 	// not accept a request.
 	engineRetryAfter = time.Second
@@ -44,6 +47,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     backendIdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	onceTransport := transport.Clone()
 	onceTransport.DisableKeepAlives = true
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -49,7 +49,7 @@
 	c := &crashMonitor{
 		agent:       a,
 		distributor: &crash.ReportDistributor{Self: a.settings.Name, Zone: a.settings.Zone, Node: a.peering.Node, Pool: a.peerPool, Log: a.log},
-		probeClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		probeClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 	// The name must differ from the one under which entries report this instance.
 	name := fmt.Sprintf("%s/%d/server", a.settings.Name, a.incarnation)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,8 @@
 	// maxResponseBytes bounds the size of a response, in bytes. It is larger than the
 	// largest value of the configuration service, to allow for JSON escapes.
 	maxResponseBytes = 8 << 20
+	// maxHeaderBytes bounds the header of a response, in bytes.
+	maxHeaderBytes = 64 << 10
 	// watchTimeout is how long the configuration service holds a watch request before
 	// it answers with the unchanged value.
 	watchTimeout = 30 * time.Second
@@ -63,7 +65,9 @@
 
 // NewClient returns a client for the platform at baseURL.
 func NewClient(baseURL string) *Client {
-	return &Client{baseURL: baseURL, http: &http.Client{Timeout: watchTimeout + 5*time.Second}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	return &Client{baseURL: baseURL, http: &http.Client{Transport: transport, Timeout: watchTimeout + 5*time.Second}}
 }
 
 // Fetch returns the value under key.
--- a/internal/rankctl/client.go
+++ b/internal/rankctl/client.go
@@ -21,6 +21,8 @@
 	dialTimeout = 2 * time.Second
 	// maxResponseBytes bounds a response body. It exceeds the largest encoded map.
 	maxResponseBytes = 32 << 20
+	// maxHeaderBytes bounds the header of a response, in bytes.
+	maxHeaderBytes = 64 << 10
 )
 
 // ErrProcessChanged is returned when the connected engine process is not the one
@@ -175,6 +177,8 @@
 	s.client = &http.Client{Transport: &http.Transport{
 		DialContext:     s.dial,
 		MaxConnsPerHost: 1,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 	return s
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -25,6 +25,8 @@
 	// ColdServers says that the plain servers may be cold.
 	ColdServers                 bool
 	FaultPeriod, RecoveryPeriod time.Duration
+	// MemoryMB is the memory limit of each gateway, in megabytes; zero if it has none.
+	MemoryMB int
 }
 
 // DefaultSize returns the size of most runs, a few dozen processes and
@@ -342,7 +344,7 @@
 	}
 	return config.Node{
 		Name: name, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Callers: callers, Ready: ready,
-		Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
+		MemoryMB: r.size.MemoryMB, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
 	}, nil
 }
 
