gateway: look routes up with the path as it was sent

Cause: the lookup decoded the path, which is forwarded as it was sent. The entry of the product's own interface now leaves encoded slashes encoded, too.

TestRequestWithAnEncodedSlashRunsOnce (two gateway processes) failed before.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,7 +93,7 @@
 		return verdict.Refuse(verdict.InvalidRequest, verdict.NotRun, "the request names no attempt")
 	}
 	fresh := g.configFresh()
-	x.route = table.Route(x.r.Host, x.r.URL.Path)
+	x.route = table.Route(x.r.Host, sentPath(x.r))
 	if x.route == nil {
 		if !fresh {
 			return verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the configuration is not proved fresh").WithRetryAfter(g.staleDelay())
@@ -125,6 +125,16 @@
 	return nil
 }
 
+// sentPath returns the path of a request as the caller sent it and as servers get it. An encoded
+// slash in it is no slash.
+func sentPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath() // The target has a scheme and a host too.
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // checkDrain returns a refusal if the gateway stops and the request, unless it has been sent to
 // a server, may last longer than the drain: it would be cut at its end.
 func (x *exchange) checkDrain() *verdict.Error {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -138,7 +139,7 @@
 	r := c.Request()
 	decision, ok := ex.snap.set.Decide(rules.Request{
 		Method:       r.Method,
-		Path:         r.URL.Path,
+		Path:         rulePath(r.URL),
 		Organisation: ex.organisation.Name,
 		Class:        ex.opts.class,
 	})
@@ -164,6 +165,19 @@
 	return e.dispatch(ctx, req, ex.out)
 }
 
+// rulePath returns the path by which rules decide: decoded, as rules are written, but for
+// encoded slashes, which do not separate parts of a path.
+func rulePath(u *url.URL) string {
+	const slash = "%2F"
+	parts := strings.Split(strings.ReplaceAll(u.EscapedPath(), "%2f", slash), slash)
+	for i, part := range parts {
+		if decoded, err := url.PathUnescape(part); err == nil {
+			parts[i] = decoded
+		}
+	}
+	return strings.Join(parts, slash)
+}
+
 // serveOnce serves a call that may not be repeated. The limit of the organisation
 // is charged when a ticket is issued to a request without one. A ticket that its
 // server voided is replaced without another charge.
