discovery: take only era 0 for that of a store that was never restored

Cause: eras up to 1 counted as never restored, also for a process that had seen the era rise. Now only era 0, or none, does; in any other era nothing is proved for two seconds, unless a peer has known the era for longer. A store that begins at 1 delays a start of all processes by two seconds.

Tests that took era 1 for never restored begin at era 0, with the same checks: their assumption was the fault.

--- a/discovery/apply.go
+++ b/discovery/apply.go
@@ -194,7 +194,7 @@
 // restoreGrace is like removalGrace after a restore of the source. The caller holds
 // applyMu.
 func (f *Follower) restoreGrace() time.Duration {
-	if f.eras.era <= firstEra {
+	if f.eras.era == unrestoredEra {
 		return 0
 	}
 	return max(0, restoreSettleTime-(f.uptime()-f.eras.seenAt))
--- a/discovery/era.go
+++ b/discovery/era.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// firstEra is the era of a source that has never been restored. A source that
-	// states no era is of era zero.
-	firstEra = 1
+	// unrestoredEra is the era of a source that has never been restored: one that states no
+	// era, or begins to count at zero. A source may begin at one, too, but then a process
+	// that starts cannot tell that era from one after a restore.
+	unrestoredEra = 0
 	// restoreSettleTime is how long after a restore the operators and the servers
 	// may take to publish again what the restore has lost. Until then, the state of
 	// the source proves nothing, and a server that is missing in it is not gone.
@@ -58,5 +59,5 @@
 // all changes that were acknowledged before a restore. A process that has just
 // started cannot tell how old the era is, and treats it as a new one.
 func (c *eraClock) settled(sentAt time.Duration) bool {
-	return c.era <= firstEra || sentAt-c.seenAt >= restoreSettleTime
+	return c.era == unrestoredEra || sentAt-c.seenAt >= restoreSettleTime
 }
--- a/discovery/era_test.go
+++ b/discovery/era_test.go
@@ -57,14 +57,14 @@
 func TestRestoredSourceIsReadAnew(t *testing.T) {
 	uptime := 10 * time.Second
 	f := newIdleFollower(&uptime)
-	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Era: 1, Config: newConfig(7), Revision: 10}, uptime))
+	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Era: 0, Config: newConfig(7), Revision: 10}, uptime))
 	at := f.currentPosition()
 	changes := &Changes{Era: 2, Revision: 14, Config: newConfig(8)}
 	assert.NilError(t, applied(f.applyChanges(at, changes, uptime)))
 	assert.Equal(t, f.Table().Version(), int64(7), "changes of another history were applied")
 	assert.Equal(t, f.currentPosition(), position{era: 2})
 
-	assert.ErrorIs(t, f.applySnapshot(position{era: 2}, &Snapshot{Era: 1, Config: newConfig(7), Revision: 10}, uptime), errOlderEra)
+	assert.ErrorIs(t, f.applySnapshot(position{era: 2}, &Snapshot{Era: 0, Config: newConfig(7), Revision: 10}, uptime), errOlderEra)
 	assert.Equal(t, f.currentPosition(), position{era: 2})
 }
 
@@ -74,11 +74,11 @@
 func TestRestoredSourceProvesNothingUntilItHasSettled(t *testing.T) {
 	uptime := 10 * time.Second
 	f := newIdleFollower(&uptime)
-	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Era: 1, Config: newConfig(7), Revision: 10}, uptime))
+	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Era: 0, Config: newConfig(7), Revision: 10}, uptime))
 	provenAt := uptime
 
 	uptime += time.Second
-	assert.NilError(t, f.applySnapshot(position{era: 1, revision: 10}, &Snapshot{Era: 2, Config: newConfig(5), Revision: 8}, uptime))
+	assert.NilError(t, f.applySnapshot(position{era: 0, revision: 10}, &Snapshot{Era: 2, Config: newConfig(5), Revision: 8}, uptime))
 	assert.Equal(t, f.Table().Version(), int64(7), "the configuration went back")
 	uptime += restoreSettleTime
 	assert.NilError(t, applied(f.applyChanges(position{era: 2, revision: 8}, &Changes{Era: 2, Revision: 9}, uptime)))
@@ -126,7 +126,7 @@
 	uptime := 100 * time.Second
 	behind, ahead := newIdleFollower(&uptime), newIdleFollower(&uptime)
 	server := backends.Server{ID: "old", Service: "s", Address: "127.0.0.1:1", Slots: 1}
-	assert.NilError(t, behind.applySnapshot(position{}, &Snapshot{Era: 1, Config: newConfig(9), Servers: []backends.Server{server}, Revision: 50}, uptime))
+	assert.NilError(t, behind.applySnapshot(position{}, &Snapshot{Era: 0, Config: newConfig(9), Servers: []backends.Server{server}, Revision: 50}, uptime))
 	assert.NilError(t, ahead.applySnapshot(position{}, &Snapshot{Era: 2, Config: newConfig(7), Revision: 10}, uptime))
 	reply, err := behind.Published(t.Context(), ahead.newQuestion())
 	assert.NilError(t, err)
@@ -161,3 +161,24 @@
 	ask()
 	assert.Equal(t, len(dependent.directory.Servers()), 1)
 }
+
+// A store may begin to count its eras at zero or at one. A process that saw the first restore, or
+// started after it, took what the store published for proved, and accepted a revoked key.
+func TestFirstRestoreProvesNothingUntilItHasSettled(t *testing.T) {
+	uptime := 10 * time.Second
+	f := newIdleFollower(&uptime)
+	assert.NilError(t, f.applySnapshot(position{}, &Snapshot{Era: 0, Config: newConfig(7), Revision: 10}, uptime))
+	uptime += time.Second
+	assert.NilError(t, f.applySnapshot(f.at, &Snapshot{Era: 1, Config: newConfig(7), Revision: 8}, uptime))
+	age, _ := f.ProofAge()
+	assert.Equal(t, age, time.Second, "the restore may have lost a newer version")
+	uptime += restoreSettleTime
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 1, Revision: 9}, uptime)))
+	age, _ = f.ProofAge()
+	assert.Equal(t, age, time.Duration(0))
+
+	started := newIdleFollower(&uptime)
+	assert.NilError(t, started.applySnapshot(position{}, &Snapshot{Era: 1, Config: newConfig(7), Revision: 9}, uptime))
+	_, ok := started.ProofAge()
+	assert.Assert(t, !ok, "a process that starts cannot tell whether the store was restored just before")
+}
--- a/discovery/evacuation_test.go
+++ b/discovery/evacuation_test.go
@@ -43,19 +43,19 @@
 func TestEvacuationFollowsItsKey(t *testing.T) {
 	now := time.Minute
 	f := newIdleFollower(&now)
-	assert.NilError(t, f.applySnapshot(position{}, zonesSnapshot(1, 10, "za"), now))
+	assert.NilError(t, f.applySnapshot(position{}, zonesSnapshot(0, 10, "za"), now))
 	used, err := zonesUsed(f, "za", "zb")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, used, []string{"za"})
 	changes := []ZoneChange{{"zb", true}, {"za", false}, {"za", true}, {"za", false}}
-	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 1, Revision: 14, Evacuations: changes}, now)))
+	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 0, Revision: 14, Evacuations: changes}, now)))
 	used, _ = zonesUsed(f, "za", "zb")
 	assert.DeepEqual(t, used, []string{"zb"})
 	f.resetRevision()
-	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(1, 20, "za"), now))
+	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(0, 20, "za"), now))
 	used, _ = zonesUsed(f, "za", "zb")
 	assert.DeepEqual(t, used, []string{"za"})
-	unreadable := zonesSnapshot(1, 21)
+	unreadable := zonesSnapshot(0, 21)
 	unreadable.UnreadableEvacuations = []string{"za", "zb"}
 	f.resetRevision()
 	assert.NilError(t, f.applySnapshot(f.at, unreadable, now))
@@ -68,7 +68,7 @@
 func TestEvacuationOutlivesARestore(t *testing.T) {
 	now := time.Minute
 	f := newIdleFollower(&now)
-	assert.NilError(t, f.applySnapshot(position{}, zonesSnapshot(1, 10, "za"), now))
+	assert.NilError(t, f.applySnapshot(position{}, zonesSnapshot(0, 10, "za"), now))
 	now += time.Second
 	assert.NilError(t, applied(f.applyChanges(f.at, &Changes{Era: 2, Revision: 9}, now)))
 	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(2, 9, "zb"), now))
@@ -182,7 +182,7 @@
 	}
 	for i := range 3 {
 		f.resetRevision()
-		assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(1, int64(10+i), zones...), now))
+		assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(0, int64(10+i), zones...), now))
 	}
 	assert.Equal(t, len(f.evacuations.zones), maxZones)
 	used, _ := zonesUsed(f, "zb", "za")
@@ -191,13 +191,13 @@
 	assert.Equal(t, strings.Count(log.String(), "change=began"), 1, "%s", log.String())
 
 	f.resetRevision()
-	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(1, 30, "new"), now))
+	assert.NilError(t, f.applySnapshot(f.at, zonesSnapshot(0, 30, "new"), now))
 	assert.Assert(t, strings.Contains(log.String(), "change=ended"))
-	started := &Changes{Era: 1, Revision: 31, Updated: []backends.Server{{ID: "n", Service: "s", Address: "127.0.0.1:3", Zone: "new", Slots: 1}}}
+	started := &Changes{Era: 0, Revision: 31, Updated: []backends.Server{{ID: "n", Service: "s", Address: "127.0.0.1:3", Zone: "new", Slots: 1}}}
 	assert.NilError(t, applied(f.applyChanges(f.at, started, now)))
 	used, _ = zonesUsed(f, "new")
 	assert.DeepEqual(t, used, []string{"new"})
-	assert.Assert(t, strings.Contains(log.String(), "zone=new change=began era=1 revision=31"), "%s", log.String())
+	assert.Assert(t, strings.Contains(log.String(), "zone=new change=began era=0 revision=31"), "%s", log.String())
 }
 
 // A misspelt region refuses all requests of its route, so it must be found in the log, once.
@@ -213,7 +213,7 @@
 		c.Routes[0].AllowedRegions = []string{"east", "eats"}
 		c.Organisations = []ingress.Organisation{{Name: "north", AllowedRegions: []string{"eats", ""}}}
 		f.resetRevision()
-		assert.NilError(t, f.applySnapshot(f.at, &Snapshot{Config: c, Era: 1, Revision: 10 + version}, now))
+		assert.NilError(t, f.applySnapshot(f.at, &Snapshot{Config: c, Era: 0, Revision: 10 + version}, now))
 	}
 	assert.Equal(t, strings.Count(log.String(), "region_unknown"), 2, "%s", log.String())
 	assert.Assert(t, strings.Contains(log.String(), "region=eats route=r"), "%s", log.String())
