gateway: notice crashes of servers behind callers that read slowly

A crash of a server was not counted if the caller read slowly: the gateway reads ahead for it, and looked at the server only when the caller had read the rest, when the server may be back.

The crash is watched as soon as the response breaks off while it is read ahead; the exchange takes over the result.

TestCrashIsNoticedWhileTheCallerReadsSlowly: no crash noticed before.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -49,6 +49,9 @@
 	// crashKnown is closed once it is known whether the server of the last attempt
 	// crashed; nil if the request need not wait for that.
 	crashKnown <-chan struct{}
+	// watchedAhead is closed like crashKnown. It is set if the crash is being watched since the
+	// response broke off, which the caller's slow reading has hidden until now.
+	watchedAhead <-chan struct{}
 
 	// standby is the attempt that is made beside the current one; nil if there is
 	// none. None is started before standbyNotBefore.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -56,17 +56,28 @@
 		return
 	}
 	pastBeginning := x.attemptEvents >= provenEvents
-	broken := brokenAttempt{server: choice.Server, at: time.Now(), begun: begun && !pastBeginning, call: x.call, traits: x.traits}
-	ctx, known := context.WithCancel(context.Background())
-	if x.waitsForCrash(pastBeginning, broken.at) {
-		x.crashKnown = ctx.Done()
+	known := x.watchedAhead
+	x.watchedAhead = nil
+	now := time.Now()
+	if known == nil {
+		known = x.g.watchCrash(brokenAttempt{server: choice.Server, at: now, begun: begun && !pastBeginning, call: x.call, traits: x.traits})
+	}
+	if x.waitsForCrash(pastBeginning, now) {
+		x.crashKnown = known
 	}
+}
+
+// watchCrash watches in the background whether the server of a broken attempt has crashed. It
+// returns a channel that is closed once that is known, or the request need not wait any longer.
+func (g *Gateway) watchCrash(broken brokenAttempt) (known <-chan struct{}) {
+	ctx, stopWaiting := context.WithCancel(context.Background())
 	go func() {
-		defer known()
-		if err := panics.Do("confirming a crash", func() { x.g.confirmCrash(&broken, known) }); err != nil {
-			x.g.logBackgroundPanic(err)
+		defer stopWaiting()
+		if err := panics.Do("confirming a crash", func() { g.confirmCrash(&broken, stopWaiting) }); err != nil {
+			g.logBackgroundPanic(err)
 		}
 	}()
+	return ctx.Done()
 }
 
 // waitsForCrash reports whether the request, the answer to which broke off at now, must not be
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	newPolicy func() func(silence time.Duration) bool
 	// interruptWrite makes a write to the caller fail.
 	interruptWrite func()
+	// watchCrash watches whether the server has crashed, and returns a channel that is closed
+	// once that is known.
+	watchCrash func() (known <-chan struct{})
 
 	mu sync.Mutex
 	// writing is set during a write to the caller; writes counts the writes, and seenWrite
@@ -115,6 +119,17 @@
 	return ahead != nil && errors.Is(ahead.result(), errSlowCaller)
 }
 
+// crashWatch returns a channel that is closed once it is known whether the server crashed; nil
+// unless the response broke off while it was read ahead.
+func (r *responseReader) crashWatch() <-chan struct{} {
+	if r.ahead == nil {
+		return nil
+	}
+	r.ahead.mu.Lock()
+	defer r.ahead.mu.Unlock()
+	return r.ahead.crashWatch
+}
+
 // stop ends reading ahead and releases its memory. It must be called before the response is
 // closed.
 func (r *responseReader) stop() {
@@ -146,8 +161,10 @@
 	mu sync.Mutex
 	// chunks are the bytes that were read and not taken.
 	chunks [][]byte
-	// err is the end of the response; nil before it.
-	err error
+	// err is the end of the response; nil before it. crashWatch is the result of
+	// reader.watchCrash if the server closed or reset the connection before the end.
+	err        error
+	crashWatch <-chan struct{}
 }
 
 func newReadAhead(r *responseReader) *readAhead {
@@ -183,6 +200,10 @@
 func (a *readAhead) finish(err error) {
 	a.mu.Lock()
 	a.err = err
+	if !errors.Is(err, io.EOF) && closedByServer(err) {
+		// The exchange finds out when the caller has read the rest: the server may be back then.
+		a.crashWatch = a.reader.watchCrash()
+	}
 	a.mu.Unlock()
 	signal(a.arrived)
 	if errors.Is(err, errSlowCaller) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,6 +88,12 @@
 func (x *exchange) relayFrom(source *responseReader, choice *backends.Choice) (end func()) {
 	source.until = x.deadline
 	source.newPolicy = func() func(time.Duration) bool { return x.waitPolicy(choice) }
+	// What the caller has got is past the beginning of the answer, if it blocks its connection.
+	broken := brokenAttempt{server: choice.Server, call: x.call, traits: x.traits}
+	source.watchCrash = func() <-chan struct{} {
+		broken.at = time.Now()
+		return x.g.watchCrash(broken)
+	}
 	control := http.NewResponseController(x.w)
 	source.interruptWrite = func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) } // Fails only for a closed connection.
 	x.g.responses.add(source)
@@ -113,6 +119,7 @@
 	if errors.Is(err, errSlowCaller) {
 		return x.writeFailed(source)
 	}
+	x.watchedAhead = source.crashWatch()
 	return x.handleBodyError(choice, err)
 }
 
--- a/gateway/slowread_test.go
+++ b/gateway/slowread_test.go
@@ -379,3 +379,29 @@
 	}
 	assert.Assert(t, refused.Load() > 0)
 }
+
+// A crash of a server was not noticed if the caller read slowly: the server was back when the
+// caller had read what the gateway had read ahead.
+func TestCrashIsNoticedWhileTheCallerReadsSlowly(t *testing.T) {
+	h := newHarness(t)
+	h.timeout = 20 * time.Second
+	written := make(chan error, 1)
+	h.addRestartingServer("a", func(c net.Conn, r *http.Request) (crash bool) {
+		written <- writeLargeEvents(c, r, 1, manyEvents)
+		time.Sleep(100 * time.Millisecond) // The gateway has read ahead.
+		return true
+	})
+	h.maxAttempts = 1
+	h.start()
+	setMemory(h, MemoryLimits{ReadAhead: 64 << 20, Total: 256 << 20})
+	c := dialSlowCaller(h)
+	c.request("/stream/x", "1")
+	assert.NilError(t, <-written)
+	time.Sleep(4 * serverRestartTime)
+	crashes := func() int { return strings.Count(h.logLines("1"), "event=server_crashed") }
+	assert.Equal(t, crashes(), 1, "the crash must be noticed before the caller has read what was read ahead")
+	_, body, _ := c.read()
+	assert.Assert(t, strings.HasPrefix(body, largeEvents(1, manyEvents)), "%d bytes", len(body))
+	time.Sleep(crashConfirmTimeout / 4)
+	assert.Equal(t, crashes(), 1, "a crash counts once")
+}
