callerconn: listen with plain TCP, so that a closing listener loses nobody

Cause: net.Listen returns Multipath TCP listeners, whose sockets reject the filter that makes a closing listener ignore new handshakes; the error was taken for a kernel without filters. Gateways and entries now listen for callers with callerconn.Listen, which asks for plain TCP.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,7 @@
 
 // Serve accepts requests until ctx ends, then drains the gateway.
 func (g *Gateway) Serve(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp", g.options.CallerAddress)
+	callerListener, err := callerconn.Listen(g.options.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("gateway: listen for callers: %w", err)
 	}
--- a/internal/callerconn/conns_test.go
+++ b/internal/callerconn/conns_test.go
@@ -95,7 +95,7 @@
 // While a listener closes, each caller must either be refused or accepted: none may be
 // connected and then reset.
 func TestCallersOfAClosingListenerAreAcceptedOrRefused(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := callerconn.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() {
 		for {
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,7 +1,9 @@
 package callerconn
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -21,7 +23,19 @@
 // disabled names a mechanism that tests switch off; empty otherwise.
 var disabled string
 
-// CloseListener closes a listener without losing connections. The kernel resets a
+// Listen returns a TCP listener that CloseListener can close without losing connections. It is
+// no Multipath TCP listener, as net.Listen returns: the kernel rejects filters of those.
+func Listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("callerconn: %w", err)
+	}
+	return l, nil
+}
+
+// CloseListener closes a listener of Listen without losing connections. The kernel resets a
 // connection that is established for its caller but not yet returned by Accept, and with it
 // the request that the caller may have sent. So the listener first ignores new handshakes,
 // which callers repeat after a second and then find refused, and is closed once Accept has
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -138,7 +138,7 @@
 // Serve runs the entry until ctx ends or an operator requests a drain, then
 // drains it.
 func (e *Entry) Serve(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp", e.settings.Listen.Callers)
+	callerListener, err := callerconn.Listen(e.settings.Listen.Callers)
 	if err != nil {
 		return fmt.Errorf("entry: listen.callers: %w", err)
 	}
