gateway, docs: keep the watch of a broken response to its own attempt

A response that broke off while it was read ahead left its watch to the next attempt if the exchange saw another error; by reading, no test. The test of odd entries uses IDs that are usable, so that only the values are odd.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -49,8 +49,8 @@
 	// crashKnown is closed once it is known whether the server of the last attempt
 	// crashed; nil if the request need not wait for that.
 	crashKnown <-chan struct{}
-	// watchedAhead is closed like crashKnown. It is set if the crash is being watched since the
-	// response broke off, which the caller's slow reading has hidden until now.
+	// watchedAhead is closed like crashKnown. It is set while a response is handled that broke
+	// off as it was read ahead: whether its server crashed is being watched since then.
 	watchedAhead <-chan struct{}
 
 	// standby is the attempt that is made beside the current one; nil if there is
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -57,7 +57,6 @@
 	}
 	pastBeginning := x.attemptEvents >= provenEvents
 	known := x.watchedAhead
-	x.watchedAhead = nil
 	now := time.Now()
 	if known == nil {
 		known = x.g.watchCrash(brokenAttempt{server: choice.Server, at: now, begun: begun && !pastBeginning, call: x.call, traits: x.traits})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -120,6 +120,7 @@
 		return x.writeFailed(source)
 	}
 	x.watchedAhead = source.crashWatch()
+	defer func() { x.watchedAhead = nil }()
 	return x.handleBodyError(choice, err)
 }
 
--- a/ingress/table.go
+++ b/ingress/table.go
@@ -93,8 +93,8 @@
 
 // RequiresOrganisation reports whether a request with the given key, empty if it has
 // none, must belong to an organisation, unless its route is public. Only a request
-// without a key need not, and only while the configuration contains no organisation: a key that
-// no organisation holds may have been revoked with the last one.
+// without a key need not, and only while the configuration contains no organisation.
+// A key that no organisation holds may have been revoked with the last one.
 func (t *Table) RequiresOrganisation(key string) bool {
 	return key != "" || len(t.config.Organisations) > 0
 }
--- a/soak/oddentries_test.go
+++ b/soak/oddentries_test.go
@@ -52,11 +52,14 @@
 	r := startProcesses(t, Size{Gateways: 3, Groups: 1, RanksPerGroup: 4, PlainServers: 1})
 	for _, service := range []string{appService, modelService} {
 		for name, value := range oddEntries(service) {
-			r.store.PutServerValue("odd "+service+" "+name, []byte(value))
+			// A usable ID, so that only the value is odd.
+			r.store.PutServerValue("odd-"+service+"-"+strings.ReplaceAll(name, " ", "-"), []byte(value))
 		}
 	}
-	r.store.PutServerValue("odd\r\nX-Odd: id", []byte(oddEntries(appService)["huge start"]))
-	r.store.PutServerValue("", []byte(oddEntries(appService)["huge start"]))
+	sound := []byte(fmt.Sprintf(`{"service":%q,"address":"127.0.0.1:9","zone":"zone-0","slots":6,"state":"ready"}`, appService))
+	for _, id := range []string{"", "odd\r\nX-Odd: id", "odd id", strings.Repeat("x", 500)} {
+		r.store.PutServerValue(id, sound)
+	}
 	time.Sleep(time.Second)
 	r.gateways[0].kill()
 	assert.NilError(t, r.gateways[0].start())
