crash: let agents remember the reports that they have made

Nothing is written anywhere. Reports of servers that were lost with their agents are still made and held by entries alone.

TestCrasherIsRememberedAfterAllEntriesWereKilled (three entries, nine agents): without the change the new entries do not learn of the crashes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -185,6 +185,7 @@
 		a.peering.Register(agentMux),
 		a.peering.Register(entryMux),
 		wire.DRPCRegisterAgent(entryMux, a),
+		wire.DRPCRegisterSuspects(entryMux, reportService{a.crashMonitor.reports}),
 		a.rankManager.register(agentMux, a.peering),
 	)
 	if err != nil {
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -43,11 +43,30 @@
 	distributor   *crash.ReportDistributor
 	probeClient   *http.Client
 	probationBusy atomic.Bool
+	// reports holds the reports of this agent, for entries that start after all others.
+	reports *crash.ReportStore
+}
+
+// errNoSuspects is returned for reports of other instances, which an agent has no use for.
+var errNoSuspects = errors.New("agent: takes no crash reports")
+
+// reportService is the Suspects service for entries.
+type reportService struct{ reports *crash.ReportStore }
+
+// Tell implements the Suspects service.
+func (reportService) Tell(context.Context, *wire.SuspectReports) (*wire.TellReply, error) {
+	return nil, errNoSuspects
+}
+
+// Ask implements the Suspects service. It returns reports that this agent has made.
+func (s reportService) Ask(ctx context.Context, m *wire.KnownReports) (*wire.SuspectReports, error) {
+	return s.reports.Ask(ctx, m)
 }
 
 func newCrashMonitor(a *Agent) *crashMonitor {
 	c := &crashMonitor{
 		agent:       a,
+		reports:     crash.NewReportStore(func(suspects.Report) {}),
 		distributor: &crash.ReportDistributor{Self: a.settings.Name, Zone: a.settings.Zone, Node: a.peering.Node, Pool: a.peerPool, Log: a.log},
 		probeClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
@@ -83,7 +102,9 @@
 		Str("server", strconv.FormatUint(report.ServerID, 16)).
 		Str("cause", "server_crashed").
 		Int("requests", len(report.Requests)).Msg("")
-	c.distributor.Publish(report)
+	if data := c.distributor.Publish(report); data != nil {
+		_, _, _ = c.reports.Add(data, time.Now()) // Add does not fail on a report that was just encoded.
+	}
 }
 
 // reserveProbation reserves the server's only probation run if s is on probation.
--- a/internal/crash/spread.go
+++ b/internal/crash/spread.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"bluebellwind.example/internal/clock"
 	"bluebellwind.example/internal/rpc"
 	"bluebellwind.example/membership"
 	"bluebellwind.example/suspects"
@@ -28,6 +29,8 @@
 	relaysPerEntry = 2
 	// fetchPeriod is the mean time between two Ask calls of FetchPeriodically.
 	fetchPeriod = 5 * time.Second
+	// agentCheckInterval is the time between two looks for agents that were not asked yet.
+	agentCheckInterval = 200 * time.Millisecond
 )
 
 // undeliveredReports counts the failed Tell calls, that is the entries that a
@@ -148,7 +151,8 @@
 func (s *ReportDistributor) FetchPeriodically(ctx context.Context, store *ReportStore) {
 	for ctx.Err() == nil {
 		if entries := s.Entries(); len(entries) > 0 {
-			s.fetchMissing(ctx, entries[rand.IntN(len(entries))], store)
+			// After an error it tries another entry after the next interval.
+			_ = fetchMissing(ctx, s.Pool, entries[rand.IntN(len(entries))], store)
 		}
 		select {
 		case <-ctx.Done():
@@ -157,18 +161,55 @@
 	}
 }
 
-// fetchMissing fetches reports that the store lacks from one entry.
-func (s *ReportDistributor) fetchMissing(ctx context.Context, entry membership.Instance, store *ReportStore) {
+// FetchFromAgents asks each agent for the reports that it has made, once it is known to this
+// entry, until ctx ends. If all entries were down together, only agents remember. pool holds the
+// connections to agents.
+func (s *ReportDistributor) FetchFromAgents(ctx context.Context, pool *rpc.Pool, store *ReportStore) {
+	// askAt is when to ask an agent again, by its name; zero once it has answered.
+	askAt := make(map[string]time.Time)
+	clock.Every(ctx, agentCheckInterval, func(now time.Time) {
+		next := make(map[string]time.Time)
+		var mu sync.Mutex
+		var calls sync.WaitGroup
+		slots := make(chan struct{}, maxConcurrentSends)
+		for _, agent := range s.Node.Alive() {
+			if agent.Role != membership.Agent {
+				continue
+			}
+			at, known := askAt[agent.ID]
+			next[agent.ID] = at
+			if known && (at.IsZero() || now.Before(at)) {
+				continue
+			}
+			slots <- struct{}{}
+			calls.Go(func() {
+				defer func() { <-slots }()
+				err := fetchMissing(ctx, pool, agent, store)
+				mu.Lock()
+				defer mu.Unlock()
+				if next[agent.ID] = (time.Time{}); err != nil {
+					next[agent.ID] = now.Add(fetchPeriod)
+				}
+			})
+		}
+		calls.Wait()
+		askAt = next
+	})
+}
+
+// fetchMissing fetches reports that the store lacks from one instance.
+func fetchMissing(ctx context.Context, pool *rpc.Pool, from membership.Instance, store *ReportStore) error {
 	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
 	defer cancel()
-	conn := s.Pool.Get(ctx, string(entry.Addr))
+	conn := pool.Get(ctx, string(from.Addr))
 	reply, err := wire.NewDRPCSuspectsClient(conn).Ask(ctx, &wire.KnownReports{Hashes: store.hashes()})
 	if err != nil {
-		return // FetchPeriodically tries another entry after its next interval.
+		return err
 	}
 	for _, data := range reply.GetReports() {
 		if _, _, err := store.Add(data, time.Now()); err != nil {
-			return
+			return err
 		}
 	}
+	return nil
 }
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -181,6 +181,31 @@
 	}
 }
 
+// After all entries had been killed together, nobody remembered which requests had crashed
+// their servers, and such a request took down two more.
+func TestCrasherIsRememberedAfterAllEntriesWereKilled(t *testing.T) {
+	c, engines := newCrashCluster(t)
+	attempt := 0
+	c.eventually("the crashing request is quarantined", func() bool { attempt++; return c.sendCrashing(attempt, engines) })
+	before := totalCrashes(engines)
+	isEntry := func(in platform.Instance) bool { return in.Role == platform.RoleEntry }
+	c.instances = slices.DeleteFunc(slices.Clone(c.instances), isEntry) // The platform may still be reading the old list.
+	for name := range c.callerAddresses {
+		c.signal(name, syscall.SIGKILL)
+		<-c.processes[name].exited
+	}
+	for i := range 3 {
+		c.addEntry(entryName(i), zoneName(i))
+	}
+	c.publish()
+	c.awaitCrashReports(engines)
+	for range 6 {
+		attempt++
+		assert.Check(t, c.sendCrashing(attempt, engines), "the request was not refused as quarantined")
+	}
+	assert.Equal(t, totalCrashes(engines), before)
+}
+
 // TestLostInstanceIsReported kills an agent during a stream. The entry must
 // report the request as a possible cause, run it on probation at its home, and
 // clear it after a complete response.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -248,6 +248,7 @@
 	go e.watchAgentReports(ctx)
 	go e.picker.refresh(ctx)
 	go e.crashes.distributor.FetchPeriodically(ctx, e.crashes.reportStore)
+	go e.crashes.distributor.FetchFromAgents(ctx, e.agentPool, e.crashes.reportStore)
 	go e.quota.run(ctx, e.settings.Name)
 }
 
