Tests: ports of restarted servers, and listeners that are closing

TestStreamThatCrashesServersAfterItsBeginningIsStopped: another socket had got the port of the stub server while that was down; the stub now waits up to five seconds for its port. TestRequestOnAConnectionAcceptedBeforeAnEntryStopsIsAnswered: since callers' listeners are plain TCP, a closing one ignores handshakes for 20 ms, and a dial that met it ended after a second only, when the entry had drained; the test now gives a dial 50 ms. The checks are the same.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -152,9 +152,15 @@
 				return
 			case <-time.After(serverRestartTime):
 			}
-			if l, err = net.Listen("tcp", address); err != nil {
-				h.t.Errorf("restart server: %v", err)
-				return
+			// Another socket may have got the port meanwhile, until its connection ends.
+			for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+				if l, err = net.Listen("tcp", address); err == nil {
+					break
+				}
+				if time.Now().After(end) {
+					h.t.Errorf("restart server: %v", err)
+					return
+				}
 			}
 		}
 	}()
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -27,7 +27,9 @@
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
 	c.signal("entry-1", syscall.SIGTERM)
 	c.eventually("the entry accepts no connections", func() bool {
-		other, err := net.Dial("tcp", address)
+		// A closing listener ignores new connections before it refuses them, and a caller that
+		// meets it then would only know after a second.
+		other, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
 		if err == nil {
 			_ = other.Close()
 		}
