--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -153,47 +153,63 @@
 	assert.Assert(t, served >= sound*95/100, "%d of %d sound requests were served", served, sound)
 }
 
-// A store, and a model server beside its agent, that send bytes without end must not use up the
-// memory of the processes that read them.
+// startReaders starts a gateway and an agent as processes. The faulty server is the store of both
+// and the agent's model server. runIndex is as for newTestbed.
+func startReaders(t *testing.T, daemon string, runIndex int, faulty *endlessServer) *testbed {
+	t.Helper()
+	dir := logDir(t, strings.ReplaceAll(t.Name(), "/", "-"))
+	r := &testbed{size: Size{MemoryMB: gatewayMemoryMB}, history: newHistory(), store: platformtest.NewStore()}
+	var err error
+	r.addresses, err = newAddressAllocator(runIndex)
+	assert.NilError(t, err)
+	t.Cleanup(r.close)
+	gateway, err := r.settings("gateway-0", 0)
+	assert.NilError(t, err)
+	gateway.Store = faulty.address()
+	r.gateways = []*gatewayProcess{{process: newProcess(daemon, "gateway", dir, gateway)}}
+	agent, err := r.settings("agent-0", 0)
+	assert.NilError(t, err)
+	agent.Seeds, agent.Store, agent.Server, agent.Service = r.seedAddresses(), faulty.address(), faulty.address(), modelService
+	agent.MemoryMB, agent.Callers, agent.Ready = agentMemoryMB, "", ""
+	r.agents = []*process{newProcess(daemon, "rank-agent", dir, agent)}
+	assert.NilError(t, startAll(r.processes()))
+	return r
+}
+
+// writeToPeer writes bytes to a gateway at the address for its peers, until the test ends or the
+// gateway closes the connection.
+func writeToPeer(t *testing.T, address string) {
+	t.Helper()
+	peer, err := net.Dial("tcp", address)
+	for end := time.Now().Add(readyTimeout); err != nil && time.Now().Before(end); peer, err = net.Dial("tcp", address) {
+		time.Sleep(readyPollInterval)
+	}
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = peer.Close() })
+	go func() {
+		bytes := []byte(strings.Repeat("\xff\x7f", 2048))
+		for _, err := peer.Write(bytes); err == nil; _, err = peer.Write(bytes) {
+		}
+	}()
+}
+
+// A store, a model server beside its agent, and a peer that send bytes without end must not use
+// up the memory of the processes that read them.
 func TestReadersBearBytesWithoutEnd(t *testing.T) {
+	daemon := buildDaemon(t)
+	runIndex := 0
 	for name, answer := range endlessAnswers {
+		runIndex++
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			faulty := startEndlessServer(t, answer)
-			r := &testbed{size: Size{Gateways: 1, MemoryMB: gatewayMemoryMB}, history: newHistory(), store: platformtest.NewStore()}
-			var err error
-			r.addresses, err = newAddressAllocator(int(time.Now().UnixNano() / 1000 % 1000))
-			assert.NilError(t, err)
-			t.Cleanup(r.close)
-			daemon, dir := buildDaemon(t), logDir(t, t.Name())
-			assert.NilError(t, r.addGateways(daemon, dir))
-			r.gateways[0].kill()
-			r.gateways[0].settings.Store = faulty.address()
-			assert.NilError(t, r.gateways[0].start())
-			settings, err := r.settings("agent", 0)
-			assert.NilError(t, err)
-			settings.Seeds, settings.Store, settings.MemoryMB = r.seedAddresses(), faulty.address(), agentMemoryMB
-			settings.Server, settings.Service, settings.Callers, settings.Ready = faulty.address(), modelService, "", ""
-			r.agents = []*process{newProcess(daemon, "rank-agent", dir, settings)}
-			assert.NilError(t, r.agents[0].start())
-			peer, err := net.Dial("tcp", r.gateways[0].settings.Mesh)
-			for err != nil {
-				time.Sleep(20 * time.Millisecond)
-				peer, err = net.Dial("tcp", r.gateways[0].settings.Mesh)
-			}
-			defer peer.Close()
-			go func() {
-				for err := error(nil); err == nil; {
-					_, err = peer.Write([]byte(strings.Repeat("\xff\x7f", 2048)))
-				}
-			}()
+			r := startReaders(t, daemon, runIndex, startEndlessServer(t, answer))
+			writeToPeer(t, r.gateways[0].settings.Mesh)
 			time.Sleep(6 * time.Second)
 			gatewayPeak, agentPeak := peakMegabytes(t, r.gateways[0].process), peakMegabytes(t, r.agents[0])
 			t.Logf("the gateway held at most %d MB, the agent %d MB", gatewayPeak, agentPeak)
 			assert.Check(t, gatewayPeak < gatewayMemoryMB, "gateway: %d MB", gatewayPeak)
 			assert.Check(t, agentPeak < agentMemoryMB, "agent: %d MB", agentPeak)
-			assert.Equal(t, r.gateways[0].startNumber(), 2, "the gateway has ended")
-			assert.Equal(t, r.agents[0].startNumber(), 1, "the agent has ended")
+			r.assertNoneEnded(t, nil)
 		})
 	}
 }
