--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -12,9 +12,9 @@
 	"bluebellwind.example/platform/platformtest"
 )
 
-// Requests that a stopping gateway reads late in its grace period, on connections that are kept or
-// with a body that takes long, must be answered: they are served, or refused without having
-// run, but not passed on and cut at the end.
+// Requests whose bodies reach a stopping gateway late in its grace period must be refused without
+// having run: they were passed on, and cut at the end. Those that came whole soon after the stop
+// signal must be served.
 func TestRequestsLateInAPlannedStopAreAnswered(t *testing.T) {
 	const (
 		// excusedAfter is the time after the stop signal from which on a request that is passed
