crowd: tests of callers that do not behave, at each address of each process

The tests start the processes on loopback and check that each lives, what it held, its descriptors also once the crowd has gone, and that an ordinary request and the largest one that is allowed are served afterwards.

They run one at a time after all others, with make test-crowd, a part of make test.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GOPLS_VERSION := v0.21.1
 BIN := $(CURDIR)/bin
 
-.PHONY: build demo test test-race known-red lint gopls bench measure proofs-must-fail soak soak-faults generate
+.PHONY: build demo test test-crowd test-race known-red lint gopls bench measure proofs-must-fail soak soak-faults generate
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -21,6 +21,13 @@
 test: known-red
 	$(GO) vet work
 	$(GO) test -count=1 $(SKIP) work
+	$(MAKE) test-crowd
+
+# Runs the tests of crowds of callers that do not behave, one at a time: they check what a
+# process holds, and must not run beside other tests.
+test-crowd:
+	$(GO) vet -tags crowd ./soak ./internal/e2e
+	$(GO) test -count=1 -p 1 -timeout 20m -tags crowd -run '^TestCrowd' $(SKIP) ./soak ./internal/e2e
 
 test-race: known-red
 	$(GO) test -count=1 -race $(SKIP) work
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -48,9 +48,10 @@
 	shape := groupShape
 	shape.Ranks = r.size.RanksPerGroup
 	c := platformtest.Config{
-		Version:  r.operator.version,
-		Services: map[string]*platformtest.GroupShape{modelService: &shape, appService: nil},
-		Keys:     map[string][]string{permanentOrg: {permanentKey, sharedKey}, revocableOrg: {}},
+		Version:        r.operator.version,
+		MaxHeaderBytes: r.size.MaxHeaderBytes,
+		Services:       map[string]*platformtest.GroupShape{modelService: &shape, appService: nil},
+		Keys:           map[string][]string{permanentOrg: {permanentKey, sharedKey}, revocableOrg: {}},
 		Routes: []platformtest.Route{
 			{Host: host, Prefix: streamPath, Service: modelService, RouteType: platformtest.Stream, Timeout: streamRouteTimeout, Objective: streamTargetLatency},
 			{Host: host, Prefix: unsafePath, Service: appService, RouteType: platformtest.Unsafe, Timeout: plainRouteTimeout, Objective: plainTargetLatency},
--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,7 +16,13 @@
 // faults, and waits until the gateways are ready. The test ends them.
 func startProcesses(t *testing.T, size Size) *testbed {
 	t.Helper()
-	r, err := newTestbed(t.Context(), buildDaemon(t), logDir(t, t.Name()), int(time.Now().UnixNano()%1000), size)
+	return startProcessesOf(t, buildDaemon(t), size)
+}
+
+// startProcessesOf is startProcesses for a daemon that is built already.
+func startProcessesOf(t *testing.T, daemon string, size Size) *testbed {
+	t.Helper()
+	r, err := newTestbed(t.Context(), daemon, logDir(t, strings.ReplaceAll(t.Name(), "/", "-")), int(time.Now().UnixNano()%1000), size)
 	assert.NilError(t, err)
 	t.Cleanup(r.close)
 	go heartbeat(t.Context(), r.store, r.plainServers[0].entry)
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -25,8 +25,13 @@
 	// ColdServers says that the plain servers may be cold.
 	ColdServers                 bool
 	FaultPeriod, RecoveryPeriod time.Duration
-	// MemoryMB is the memory limit of each gateway, in megabytes; zero if it has none.
+	// MemoryMB is the memory limit of each process, in megabytes; zero if it has none.
 	MemoryMB int
+	// MaxHeaderBytes is the limit on the header of a request in the configuration; zero if it
+	// states none.
+	MaxHeaderBytes int
+	// Metrics says that the processes serve metrics.
+	Metrics bool
 }
 
 // DefaultSize returns the size of most runs, a few dozen processes and
@@ -342,12 +347,24 @@
 	if r.size.ColdServers {
 		bounds.ColdOvershoot, bounds.ColdSlack = coldOvershoot, coldSlack
 	}
+	metrics, err := r.metricsAddress(ip)
+	if err != nil {
+		return config.Node{}, err
+	}
 	return config.Node{
-		Name: name, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Callers: callers, Ready: ready,
+		Name: name, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Callers: callers, Ready: ready, Metrics: metrics,
 		MemoryMB: r.size.MemoryMB, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
 	}, nil
 }
 
+// metricsAddress returns a free address of ip for metrics; empty if the processes serve none.
+func (r *testbed) metricsAddress(ip string) (string, error) {
+	if !r.size.Metrics {
+		return "", nil
+	}
+	return freeAddress(ip)
+}
+
 // freeAddress returns an address of ip on which nothing listens.
 func freeAddress(ip string) (string, error) {
 	l, err := net.Listen("tcp", ip+":0")
@@ -359,10 +376,15 @@
 
 func (r *testbed) addAgents(daemon, dir string) error {
 	for i, rank := range r.ranks {
+		ip := r.addresses.nextIP()
+		metrics, err := r.metricsAddress(ip)
+		if err != nil {
+			return err
+		}
 		settings := config.Node{
-			Name: "agent-" + rank.ID, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", r.addresses.nextIP(), r.addresses.peerPort), Seeds: r.seedAddresses(),
-			Store: r.gateways[0].settings.Store, Server: rank.address, Service: modelService, Bounds: bounds,
-			Log: config.Log{Level: config.DefaultLogLevel},
+			Name: "agent-" + rank.ID, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Seeds: r.seedAddresses(),
+			Store: r.gateways[0].settings.Store, Server: rank.address, Service: modelService, Metrics: metrics,
+			MemoryMB: r.size.MemoryMB, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
 		}
 		r.agents = append(r.agents, newProcess(daemon, "rank-agent", dir, settings))
 	}
