gateway: bound what the connections of callers hold, one and all together

A crowd of callers that sent headers over the limit or without end ended a gateway, which ran out of memory, or took all of its descriptors. Ordinary callers got no answers then. A header that the configuration allows, of over 64 KiB, was refused.

Cause: a header was bounded by its bytes and alone. A line of six bytes takes some hundred as a field of a map, so that 64 KiB of such lines took megabytes. Nothing bounded all connections together or their number, and the limit of the configuration was not applied.

A guard now stands around the listener. It counts what a header takes as it is held, for one and for all connections (memory.headers), and bounds their number (connections.callers, derived from memory_mb and max_fds). At a bound the connection makes room that is missed least: one without a whole header, then an idle one, then one whose body or reader is slow. It makes reads fail instead of closing, so that a request that has just been read is served.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 	"bluebellwind.example/discovery"
 	"bluebellwind.example/internal/callerconn"
 	"bluebellwind.example/internal/clock"
+	"bluebellwind.example/internal/connguard"
 	"bluebellwind.example/quarantine"
 	"bluebellwind.example/ratelimit"
 	"bluebellwind.example/routing/retry"
@@ -39,9 +41,10 @@
 	// readHeaderTimeout limits the time for reading a request's header. The timeout
 	// stated in the configuration is not applied.
 	readHeaderTimeout = 10 * time.Second
-	// maxHeaderBytes is the maximum size of a request's header, in bytes. The limit
-	// stated in the configuration is not applied.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes is the maximum size of a request's header, in bytes, that a configuration
+	// can allow, and defaultMaxHeaderBytes that while the configuration states none.
+	maxHeaderBytes        = 1 << 20
+	defaultMaxHeaderBytes = 64 << 10
 	// defaultMaxBodyBytes is the maximum size of a request's body, in bytes,
 	// while the configuration states none.
 	defaultMaxBodyBytes = 4 << 20
@@ -75,8 +78,13 @@
 	DrainTimeout time.Duration
 	// Memory bounds what is held for callers and servers; zero fields have defaults.
 	Memory MemoryLimits
+	// Connections bounds the connections of callers; zero for the default.
+	Connections int
 }
 
+// defaultConnections is the default of Limits.Connections.
+const defaultConnections = 4096
+
 // Options configures a Gateway.
 type Options struct {
 	// CallerAddress and ReadinessAddress are the addresses to listen on for
@@ -125,7 +133,10 @@
 	attempts      attemptSet
 	limits        atomic.Pointer[Limits]
 	callerConns   *callerconn.Set
-	draining      atomic.Bool
+	// callerGuard bounds what the connections of callers hold.
+	callerGuard  *connguard.Guard
+	headerMemory *connguard.Budget
+	draining     atomic.Bool
 	// drainEnd is when requests are ended; nil until no more connections are accepted.
 	drainEnd atomic.Pointer[time.Time]
 	// ending is canceled when the requests that are still open must be answered at
@@ -170,6 +181,7 @@
 		}
 		return 0
 	})
+	g.newGuards(o.Limits)
 	g.metrics = newGatewayMetrics(g)
 	g.limits.Store(&o.Limits)
 	return g
@@ -183,6 +195,8 @@
 		g.directory.SetColdBound(*limits.Cold)
 	}
 	g.memory.configure(limits.Memory)
+	g.headerMemory.SetLimit(limits.Memory.withDefaults().Headers)
+	g.callerGuard.SetConnections(cmp.Or(limits.Connections, defaultConnections))
 	g.log.Info().Str("event", "bounds_reloaded").Msg("")
 }
 
@@ -198,9 +212,9 @@
 		return fmt.Errorf("gateway: listen for readiness probes: %w", err)
 	}
 	callerServer := g.newCallerServer()
-	probeServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	probeServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes}
 	callersErr, probesErr := make(chan error, 1), make(chan error, 1)
-	go func() { callersErr <- callerServer.Serve(callerListener) }()
+	go func() { callersErr <- callerServer.Serve(g.callerGuard.Listener(callerListener)) }()
 	go func() { probesErr <- probeServer.Serve(probeListener) }()
 	go g.closeIdleServerConnections(ctx)
 	g.log.Info().Str("event", "started").Str("callers", g.options.CallerAddress).Msg("")
@@ -233,8 +247,12 @@
 		Handler:           e,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.callerConns.TrackState,
-		ErrorLog:          nil,
+		ConnContext:       connguard.ConnContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			g.callerGuard.TrackState(c, state)
+			g.callerConns.TrackState(c, state)
+		},
+		ErrorLog: nil,
 	}
 }
 
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -12,6 +12,8 @@
 type MemoryLimits struct {
 	// ReadAhead bounds what is read ahead of one caller that reads slowly.
 	ReadAhead int64
+	// Headers bounds the headers of the requests of all callers together, as they are held.
+	Headers int64
 	// Total bounds the bodies of requests, buffered responses and what is read ahead, of all
 	// callers together.
 	Total int64
@@ -21,6 +23,7 @@
 const (
 	defaultReadAheadBytes = 256 << 10
 	defaultTotalBytes     = 64 << 20
+	defaultHeaderMemory   = 64 << 20
 )
 
 // maxResponseShare is the share of MemoryLimits.Total that responses may take, so that
@@ -32,6 +35,9 @@
 	if l.ReadAhead <= 0 {
 		l.ReadAhead = defaultReadAheadBytes
 	}
+	if l.Headers <= 0 {
+		l.Headers = defaultHeaderMemory
+	}
 	if l.Total <= 0 {
 		l.Total = defaultTotalBytes
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -56,6 +56,8 @@
 		_, peak := g.memory.usage()
 		return float64(peak)
 	})
+	g.callerGuard.Register(set, "callers")
+	set.NewGauge("bluebellwind_held_header_bytes", func() float64 { return float64(g.headerMemory.Held()) })
 	set.NewGauge("bluebellwind_panics_caught", func() float64 { return float64(panics.Count()) })
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
 	set.NewGauge("bluebellwind_evacuated_zones", func() float64 { return float64(len(g.directory.EvacuatedZones())) })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"bluebellwind.example/admission"
 	"bluebellwind.example/ingress"
+	"bluebellwind.example/internal/connguard"
 	"bluebellwind.example/verdict"
 )
 
@@ -161,11 +162,14 @@
 		return body, nil
 	}
 	defer x.endReadsWithContext()()
+	defer connguard.ReadingBody(r.Context())()
 	whole, err := body.readFrom(http.MaxBytesReader(nil, r.Body, limit), r.ContentLength, math.MaxInt)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return body, verdict.Refuse(verdict.TooLarge, verdict.NotRun, "the body is too large")
+	case errors.Is(err, connguard.ErrEvicted):
+		return body, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the connection made room for another one").WithRetryAfter(x.g.refusalDelay())
 	case err != nil && errors.Is(context.Cause(x.ctx), context.DeadlineExceeded):
 		return body, verdict.Refuse(verdict.DeadlineExceeded, verdict.NotRun, "the body did not arrive in time")
 	case err != nil && errors.Is(context.Cause(x.ctx), errStopping):
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -129,6 +129,8 @@
 	homeRegions []string
 	// idleTimeout is how long callers' connections may be idle; zero means no limit.
 	idleTimeout time.Duration
+	// headerBytes is the limit on headers in the configuration; zero if it states none.
+	headerBytes int
 }
 
 const (
@@ -231,7 +233,7 @@
 			Routes:        []ingress.Route{route("once", ingress.AtMostOnce, 1), route("again", ingress.Idempotent, h.maxAttempts), route("stream", ingress.Stream, 2), public},
 			Services:      []ingress.Service{service},
 			Organisations: []ingress.Organisation{{Name: "north", Keys: []string{"key"}, AllowedRegions: h.homeRegions}},
-			Limits:        ingress.Limits{IdleTimeout: h.idleTimeout},
+			Limits:        ingress.Limits{IdleTimeout: h.idleTimeout, MaxHeaderBytes: h.headerBytes},
 		},
 	}
 	logger := logging.NewBounded(&h.logOutput, "info").Logger
@@ -251,7 +253,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(h.t, err)
 	h.callerServer = &httptest.Server{URL: "http://" + l.Addr().String(), Listener: l, Config: server}
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(h.gateway.callerGuard.Listener(l)) }()
 	h.t.Cleanup(func() { _ = server.Close() })
 	poll.WaitOn(h.t, func(poll.LogT) poll.Result {
 		if h.gateway.ready() {
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -3,7 +3,6 @@
 package callerconn
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -30,8 +29,8 @@
 // Set ends callers' connections that wait for a request. It never closes them:
 // a request may just have been read that http.Server has not reported yet. It makes
 // the next read fail instead, after which http.Server closes the connection; a
-// request that has been read is served. It leaves connections with HTTP/2 alone. It is safe
-// for concurrent use.
+// request that has been read is served. Connections carry HTTP/1.1. It is safe for concurrent
+// use.
 type Set struct {
 	// limit returns the current idle timeout. Unlike the one of http.Server it may change
 	// at any time.
@@ -64,7 +63,7 @@
 	if previous := s.open[c]; previous != nil && previous.timer != nil {
 		previous.timer.Stop()
 	}
-	if state == http.StateClosed || state == http.StateHijacked || isHTTP2(c) {
+	if state == http.StateClosed || state == http.StateHijacked {
 		delete(s.open, c)
 		return
 	}
@@ -86,13 +85,6 @@
 	}
 }
 
-// isHTTP2 reports whether a connection carries HTTP/2, whose end http.Server announces to
-// the caller itself.
-func isHTTP2(c net.Conn) bool {
-	secure, ok := c.(*tls.Conn)
-	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
-}
-
 // Stop ends the connections that wait for a request, new ones after newConnGrace.
 func (s *Set) Stop() {
 	s.mu.Lock()
@@ -138,8 +130,12 @@
 // hasUnread reports whether bytes have arrived on a connection that have not been read.
 // For a connection that is not TCP it returns false.
 func hasUnread(c net.Conn) bool {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -39,6 +39,11 @@
 	Service string `yaml:"service"`
 	// MemoryMB is the memory limit of the process, in megabytes.
 	MemoryMB int `yaml:"memory_mb"`
+	// MaxFDs is the number of descriptors that the process may open; zero for the limit that the
+	// system sets.
+	MaxFDs int `yaml:"max_fds"`
+	// Connections bounds the connections of strangers.
+	Connections Connections `yaml:"connections"`
 	// MaxProcs bounds the threads of a gateway that run Go code at the same time; zero for
 	// the default of the Go runtime.
 	MaxProcs int `yaml:"max_procs"`
@@ -65,6 +70,9 @@
 	// Share is the share of memory_mb that bodies of requests, buffered responses and what
 	// is read ahead may take together, in (0, 1].
 	Share float64 `yaml:"share"`
+	// Headers is the share of memory_mb that the headers of requests may take together, in
+	// (0, 1].
+	Headers float64 `yaml:"headers"`
 }
 
 // Defaults of Memory. A process whose memory_mb is not stated holds at most
@@ -73,6 +81,8 @@
 	defaultConnectionBytes = 256 << 10
 	defaultMemoryShare     = 0.25
 	defaultHeldBytes       = 64 << 20
+	defaultHeadersShare    = 0.1
+	defaultHeaderBytes     = 64 << 20
 )
 
 // Bounds are guarantees that the processes of the system provide jointly. Zero
@@ -128,6 +138,7 @@
 	}
 	n.Bounds.setDefaults()
 	n.Memory.setDefaults()
+	n.Connections.setDefaults()
 	if invalid := n.check(); invalid != nil {
 		return nil, &Error{File: file, Line: lineOf(text, invalid.field), Field: invalid.field, Msg: invalid.msg}
 	}
@@ -156,6 +167,9 @@
 	if m.Share == 0 {
 		m.Share = defaultMemoryShare
 	}
+	if m.Headers == 0 {
+		m.Headers = defaultHeadersShare
+	}
 }
 
 func (m *Memory) check() *invalidField {
@@ -164,6 +178,8 @@
 		return &invalidField{"memory.connection_bytes", "must not be negative"}
 	case !(m.Share > 0 && m.Share <= 1):
 		return &invalidField{"memory.share", "must be above 0 and at most 1"}
+	case !(m.Headers > 0 && m.Headers <= 1):
+		return &invalidField{"memory.headers", "must be above 0 and at most 1"}
 	}
 	return nil
 }
@@ -177,6 +193,14 @@
 	return int64(n.Memory.Share * float64(int64(n.MemoryMB)<<20))
 }
 
+// HeaderBytes returns how many bytes the headers of requests may take together.
+func (n *Node) HeaderBytes() int64 {
+	if n.MemoryMB <= 0 {
+		return defaultHeaderBytes
+	}
+	return int64(n.Memory.Headers * float64(int64(n.MemoryMB)<<20))
+}
+
 func (n *Node) check() *invalidField {
 	missing := firstMissing(fieldValue{"name", n.Name}, fieldValue{"zone", n.Zone}, fieldValue{"mesh", n.Mesh})
 	if missing != nil {
@@ -198,6 +222,12 @@
 			return &invalidField{a.field, fmt.Sprintf("%q is not IP:port", a.value)}
 		}
 	}
+	if n.MaxFDs < 0 {
+		return &invalidField{"max_fds", "must not be negative"}
+	}
+	if invalid := n.Connections.check(); invalid != nil {
+		return invalid
+	}
 	if n.MaxProcs < 0 {
 		return &invalidField{"max_procs", "must not be negative"}
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -201,7 +201,10 @@
 		Cold:         coldBound(settings),
 		DrainDelay:   min(unreadyDetectionTime, settings.Bounds.Grace()/2),
 		DrainTimeout: settings.Bounds.Grace() - shutdownReserve(settings.Bounds.Grace()),
-		Memory:       gateway.MemoryLimits{ReadAhead: settings.Memory.ConnectionBytes, Total: settings.HeldBytes()},
+		Memory: gateway.MemoryLimits{
+			ReadAhead: settings.Memory.ConnectionBytes, Total: settings.HeldBytes(), Headers: settings.HeaderBytes(),
+		},
+		Connections: settings.CallerConnections(descriptorLimit()),
 	}
 }
 
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -51,7 +51,7 @@
 func (c crowdTargets) start(t *testing.T) *testbed {
 	t.Helper()
 	return startProcessesOf(t, c.daemon, Size{
-		Gateways: 1, Groups: 1, RanksPerGroup: 2, PlainServers: 1, MemoryMB: crowdMemoryMB,
+		Gateways: 1, Groups: 1, RanksPerGroup: 2, PlainServers: 1, MemoryMB: crowdMemoryMB, MaxFDs: crowdDescriptors,
 		MaxHeaderBytes: crowdHeaderBytes, Metrics: true,
 	})
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -27,6 +27,9 @@
 	FaultPeriod, RecoveryPeriod time.Duration
 	// MemoryMB is the memory limit of each process, in megabytes; zero if it has none.
 	MemoryMB int
+	// MaxFDs is the number of descriptors that each process may open; zero for the limit of the
+	// system.
+	MaxFDs int
 	// MaxHeaderBytes is the limit on the header of a request in the configuration; zero if it
 	// states none.
 	MaxHeaderBytes int
@@ -353,7 +356,7 @@
 	}
 	return config.Node{
 		Name: name, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Callers: callers, Ready: ready, Metrics: metrics,
-		MemoryMB: r.size.MemoryMB, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
+		MemoryMB: r.size.MemoryMB, MaxFDs: r.size.MaxFDs, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
 	}, nil
 }
 
@@ -384,7 +387,7 @@
 		settings := config.Node{
 			Name: "agent-" + rank.ID, Zone: zone(i), Mesh: fmt.Sprintf("%s:%d", ip, r.addresses.peerPort), Seeds: r.seedAddresses(),
 			Store: r.gateways[0].settings.Store, Server: rank.address, Service: modelService, Metrics: metrics,
-			MemoryMB: r.size.MemoryMB, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
+			MemoryMB: r.size.MemoryMB, MaxFDs: r.size.MaxFDs, Bounds: bounds, Log: config.Log{Level: config.DefaultLogLevel},
 		}
 		r.agents = append(r.agents, newProcess(daemon, "rank-agent", dir, settings))
 	}
