admin: bound what the connections at metrics and administration hold

A crowd at the address of metrics ended a gateway, a rank agent, an entry or an agent with few connections.

Cause: these servers had the HTTP library's bound on a header, a megabyte, which takes some ten times as much in memory, no bound on connections, and none on the time of a body, a response or an idle connection.

They have the guard of callers now, with connections.control connections (64 by default) and headers of 64 KiB, and times for all three.

Evidence: TestCrowdAtMetricsOfGateway, TestCrowdAtMetricsOfRankAgent, TestCrowdAtAdminOfEntry and TestCrowdAtAdminOfAgent.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,11 +9,21 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"bluebellwind.example/internal/config"
+	"bluebellwind.example/internal/connguard"
 )
 
 const (
-	// readHeaderTimeout bounds the time to read the headers of a request.
-	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds the time to read a request, and writeTimeout that from its header to
+	// the end of its response.
+	readTimeout  = 5 * time.Second
+	writeTimeout = 30 * time.Second
+	// idleTimeout is how long a connection may be idle. Metrics are read at intervals of a
+	// minute at most.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
 	// shutdownTimeout bounds the wait for requests in flight in Close.
 	shutdownTimeout = 2 * time.Second
 )
@@ -44,14 +54,36 @@
 	return mux
 }
 
+// Limits bound what the connections of a Server make the process hold.
+type Limits struct {
+	// Connections is the greatest number of open connections; at least 1.
+	Connections int
+	// Headers bounds the memory of the headers of all requests together, in bytes.
+	Headers int64
+}
+
+// defaultHeaderMemory bounds the memory of headers where no setting does.
+const defaultHeaderMemory = 8 << 20
+
+// LimitsOf returns the limits for a process whose connections are bounded by c.
+func LimitsOf(c config.Connections) Limits {
+	return Limits{Connections: c.Control, Headers: defaultHeaderMemory}
+}
+
 // Listen starts a server for h at address, which runs until Close.
-func Listen(address string, h http.Handler) (*Server, error) {
+func Listen(address string, limits Limits, h http.Handler) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}
-	go func() { _ = s.http.Serve(listener) }() // Close makes it return.
+	guard := connguard.New(connguard.Options{
+		Connections: limits.Connections, HeaderBytes: func() int { return maxHeaderBytes }, Headers: connguard.NewBudget(limits.Headers),
+	})
+	s := &Server{listener: listener, http: &http.Server{
+		Handler: h, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: guard.TrackState,
+	}}
+	go func() { _ = s.http.Serve(guard.Listener(listener)) }() // Close makes it return.
 	return s, nil
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return fmt.Errorf("agent: listen.peers: %w", err)
 	}
-	adminServer, err := admin.Listen(a.settings.Listen.Admin, a.newAdminMux())
+	adminServer, err := admin.Listen(a.settings.Listen.Admin, admin.LimitsOf(a.settings.Connections), a.newAdminMux())
 	if err != nil {
 		return fmt.Errorf("agent: listen.admin: %w", err)
 	}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -14,6 +14,7 @@
 var logLevels = []string{"debug", "info", "warn", "error"}
 
 func (s *Settings) setRoleDefaults(role Role) {
+	s.Connections.setDefaults()
 	if role == RoleEntry && s.Entry != nil {
 		s.Entry.setDefaults()
 	}
@@ -95,6 +96,9 @@
 			return invalid
 		}
 	}
+	if invalid := s.Connections.check(); invalid != nil {
+		return invalid
+	}
 	if !slices.Contains(logLevels, s.Log.Level) {
 		return &invalidField{"log.level", fmt.Sprintf("%q is not one of %v", s.Log.Level, logLevels)}
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,6 +55,8 @@
 	// in the platform's instance list, or while the list cannot be read.
 	Seeds []string `yaml:"seeds"`
 	Log   Log      `yaml:"log"`
+	// Connections bounds the connections of strangers.
+	Connections Connections `yaml:"connections"`
 	// DrainTimeout bounds the duration of a graceful shutdown.
 	DrainTimeout Duration `yaml:"drain_timeout"`
 	// JoinTimeout bounds how long a starting process that reaches no peer waits
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,6 +44,7 @@
 		{"not an address", "peers: 127.0.0.1:0", "peers: localhost", `e.yaml:5: listen.peers: "localhost" is not IP:port`},
 		{"bad duration", "  max_body_bytes: 1024", "  request_timeout: soon", `e.yaml:17: entry.request_timeout: "soon" is not a duration`},
 		{"missing", "name: entry-a1\n", "", `e.yaml:1: name: is missing`},
+		{"impossible connections", "entry:\n", "connections: {callers: -1}\nentry:\n", `connections.callers: must be between`},
 		{"role section missing", "entry:\n  max_body_bytes: 1024\n", "", `entry: is missing`},
 	}
 	for _, c := range cases {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	adminServer, err := admin.Listen(e.settings.Listen.Admin, e.adminMux())
+	adminServer, err := admin.Listen(e.settings.Listen.Admin, admin.LimitsOf(e.settings.Connections), e.adminMux())
 	if err != nil {
 		return fmt.Errorf("entry: listen.admin: %w", err)
 	}
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -3,6 +3,15 @@
 import (
 	"math"
 	"syscall"
+
+	"bluebellwind.example/internal/admin"
+	"bluebellwind.example/internal/config"
+)
+
+const (
+	// controlHeaderShare is the part of the memory for headers of callers that the headers at
+	// the address of metrics may take besides.
+	controlHeaderShare = 0.25
 )
 
 // descriptorLimit returns the number of descriptors that the system lets this process open; zero
@@ -14,3 +23,8 @@
 	}
 	return int(limit.Cur)
 }
+
+// controlLimits returns the limits of the server for metrics.
+func controlLimits(settings *config.Node) admin.Limits {
+	return admin.Limits{Connections: settings.Connections.Control, Headers: int64(controlHeaderShare * float64(settings.HeaderBytes()))}
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -145,7 +145,7 @@
 	go follower.Run(backgroundCtx)
 	go reportDroppedLines(backgroundCtx, logger)
 	go reloadOnSIGHUP(backgroundCtx, hangup, file, logger, gw, directory)
-	if closeMetrics, err := serveMetrics(settings.Metrics, gw.Metrics()); err != nil {
+	if closeMetrics, err := serveMetrics(settings, gw.Metrics()); err != nil {
 		logger.Warn().Str("event", "metrics_unavailable").Str("cause", err.Error()).Msg("")
 	} else {
 		defer closeMetrics()
@@ -299,10 +299,10 @@
 	})
 }
 
-// serveMetrics serves the metrics of set and of the process at address, and
+// serveMetrics serves the metrics of set and of the process at the address in the settings, and
 // returns a function that closes the server. Without an address it does nothing.
-func serveMetrics(address string, set *metrics.Set) (func(), error) {
-	if address == "" {
+func serveMetrics(settings *config.Node, set *metrics.Set) (func(), error) {
+	if settings.Metrics == "" {
 		return func() {}, nil
 	}
 	mux := http.NewServeMux()
@@ -310,7 +310,7 @@
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	server, err := admin.Listen(address, mux)
+	server, err := admin.Listen(settings.Metrics, controlLimits(settings), mux)
 	if err != nil {
 		return nil, fmt.Errorf("node: serve metrics: %w", err)
 	}
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	registerTraffic(agent.Metrics(), meshNode)
-	if closeMetrics, err := serveMetrics(settings.Metrics, agent.Metrics()); err != nil {
+	if closeMetrics, err := serveMetrics(settings, agent.Metrics()); err != nil {
 		logger.Warn().Str("event", "metrics_unavailable").Str("cause", err.Error()).Msg("")
 	} else {
 		defer closeMetrics()
