gateway: bound what the connections of readiness probes hold

A crowd at the address of readiness probes ended a gateway as one at that of callers did, or kept the platform from probing it.

Cause: the server for probes bounded each header by its bytes and alone, and neither the connections nor the time of a body or an idle connection.

It has the guard of callers now, with connections.control connections.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	// lastAnswersTime is the time for sending the refusals of requests that are still
 	// open at the end of a drain.
 	lastAnswersTime = 100 * time.Millisecond
+	// probeIdleTimeout is how long a connection of probes may be idle. The platform probes each
+	// second.
+	probeIdleTimeout = 30 * time.Second
 	// idleCheckInterval is the time between two checks for idle connections to
 	// servers.
 	idleCheckInterval = time.Second
@@ -78,12 +81,16 @@
 	DrainTimeout time.Duration
 	// Memory bounds what is held for callers and servers; zero fields have defaults.
 	Memory MemoryLimits
-	// Connections bounds the connections of callers; zero for the default.
-	Connections int
+	// Connections bounds the connections of callers, ControlConnections those at the address of
+	// readiness probes; zero for the defaults.
+	Connections, ControlConnections int
 }
 
-// defaultConnections is the default of Limits.Connections.
-const defaultConnections = 4096
+// Defaults of Limits.
+const (
+	defaultConnections        = 4096
+	defaultControlConnections = 64
+)
 
 // Options configures a Gateway.
 type Options struct {
@@ -133,10 +140,10 @@
 	attempts      attemptSet
 	limits        atomic.Pointer[Limits]
 	callerConns   *callerconn.Set
-	// callerGuard bounds what the connections of callers hold.
-	callerGuard  *connguard.Guard
-	headerMemory *connguard.Budget
-	draining     atomic.Bool
+	// callerGuard and probeGuard bound what the connections of callers and probes hold.
+	callerGuard, probeGuard *connguard.Guard
+	headerMemory            *connguard.Budget
+	draining                atomic.Bool
 	// drainEnd is when requests are ended; nil until no more connections are accepted.
 	drainEnd atomic.Pointer[time.Time]
 	// ending is canceled when the requests that are still open must be answered at
@@ -212,10 +219,13 @@
 		return fmt.Errorf("gateway: listen for readiness probes: %w", err)
 	}
 	callerServer := g.newCallerServer()
-	probeServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes}
+	probeServer := &http.Server{
+		Handler: g.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, WriteTimeout: readHeaderTimeout,
+		IdleTimeout: probeIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.probeGuard.TrackState,
+	}
 	callersErr, probesErr := make(chan error, 1), make(chan error, 1)
 	go func() { callersErr <- callerServer.Serve(g.callerGuard.Listener(callerListener)) }()
-	go func() { probesErr <- probeServer.Serve(probeListener) }()
+	go func() { probesErr <- probeServer.Serve(g.probeGuard.Listener(probeListener)) }()
 	go g.closeIdleServerConnections(ctx)
 	g.log.Info().Str("event", "started").Str("callers", g.options.CallerAddress).Msg("")
 	select {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,6 +57,7 @@
 		return float64(peak)
 	})
 	g.callerGuard.Register(set, "callers")
+	g.probeGuard.Register(set, "ready")
 	set.NewGauge("bluebellwind_held_header_bytes", func() float64 { return float64(g.headerMemory.Held()) })
 	set.NewGauge("bluebellwind_panics_caught", func() float64 { return float64(panics.Count()) })
 	set.NewGauge("bluebellwind_limited_servers", func() float64 { return float64(g.directory.LimitedServers()) })
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -204,7 +204,8 @@
 		Memory: gateway.MemoryLimits{
 			ReadAhead: settings.Memory.ConnectionBytes, Total: settings.HeldBytes(), Headers: settings.HeaderBytes(),
 		},
-		Connections: settings.CallerConnections(descriptorLimit()),
+		Connections:        settings.CallerConnections(descriptorLimit()),
+		ControlConnections: settings.Connections.Control,
 	}
 }
 
