discovery: bound what strangers at the address for peers hold

A stranger at the address for calls between gateways made a gateway hold 4 MiB a connection, in any number: a crowd ended it. The connections stayed open after the crowd had gone.

Cause: drpc's default bound on a message, no bound on the connections, and none on their time. A question of a peer is a few numbers.

A message may have 4 KiB now, and connections.control connections may be open for 10 s each; one that is over makes room.

--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"bluebellwind.example/backends"
 	"bluebellwind.example/discovery/discoverypb"
@@ -48,13 +50,18 @@
 // no recent proof to serve. Peers receive and log the text.
 var errNoFreshState = errors.New("discovery: nothing is known")
 
+// maxQuestionBytes bounds a message of a peer that is received, in bytes. Questions are a few
+// numbers.
+const maxQuestionBytes = 4 << 10
+
 // ServePeers serves queries of other gateways on l until ctx ends.
 func (f *Follower) ServePeers(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
 	if err := discoverypb.DRPCRegisterGateways(mux, f); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
-	return drpcserver.New(mux).Serve(ctx, l)
+	reader := drpcwire.ReaderOptions{MaximumBufferSize: maxQuestionBytes}
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: drpcmanager.Options{Reader: reader}}).Serve(ctx, l)
 }
 
 // Published implements the Gateways service. It returns the active configuration
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -3,12 +3,16 @@
 import (
 	"math"
 	"syscall"
+	"time"
 
 	"bluebellwind.example/internal/admin"
 	"bluebellwind.example/internal/config"
 )
 
 const (
+	// peerCallTime bounds how long a connection for calls between gateways may be open: each
+	// carries one call.
+	peerCallTime = 10 * time.Second
 	// controlHeaderShare is the part of the memory for headers of callers that the headers at
 	// the address of metrics may take besides.
 	controlHeaderShare = 0.25
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -21,6 +21,7 @@
 	"bluebellwind.example/internal/admin"
 	"bluebellwind.example/internal/clock"
 	"bluebellwind.example/internal/config"
+	"bluebellwind.example/internal/connguard"
 	"bluebellwind.example/internal/logging"
 	"bluebellwind.example/mesh"
 	"bluebellwind.example/mesh/meshpb"
@@ -129,6 +130,8 @@
 		Seed:             seedFromName(settings.Name) ^ incarnation,
 		Log:              logger.Logger,
 	})
+	peerGuard := connguard.New(connguard.Options{Connections: settings.Connections.Control, Lifetime: peerCallTime})
+	peerGuard.Register(gw.Metrics(), "peers")
 	suspicions.mesh, suspicions.gateway = meshNode, gw
 	limits.mesh, others.mesh, demand.mesh = meshNode, meshNode, meshNode
 	statuses.register(gw.Metrics())
@@ -138,7 +141,7 @@
 	go others.run(backgroundCtx)
 	go demand.run(backgroundCtx)
 	go func() {
-		if err := follower.ServePeers(backgroundCtx, peerListener); err != nil && backgroundCtx.Err() == nil {
+		if err := follower.ServePeers(backgroundCtx, peerGuard.Listener(peerListener)); err != nil && backgroundCtx.Err() == nil {
 			logger.Error().Str("event", "peers_unserved").Str("cause", err.Error()).Msg("")
 		}
 	}()
