mesh: bound the peers that a process knows

Datagrams that name ever new peers made a gateway or a rank agent keep all of them for 8 s, log them and answer each.

Cause: a set of peers without a bound, and names of any length.

A process knows mesh_peers others at most (8,192 by default, several times the size that the system is designed for), and none with an ID, address or zone of over 256 bytes. Known peers stay known.

TestPeersAreBounded is new with the limit.

--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -42,6 +42,8 @@
 	// MaxFDs is the number of descriptors that the process may open; zero for the limit that the
 	// system sets.
 	MaxFDs int `yaml:"max_fds"`
+	// MeshPeers is the greatest number of other processes that a process knows.
+	MeshPeers int `yaml:"mesh_peers"`
 	// Connections bounds the connections of strangers.
 	Connections Connections `yaml:"connections"`
 	// MaxProcs bounds the threads of a gateway that run Go code at the same time; zero for
@@ -225,6 +227,9 @@
 	if n.MaxFDs < 0 {
 		return &invalidField{"max_fds", "must not be negative"}
 	}
+	if n.MeshPeers < 0 {
+		return &invalidField{"mesh_peers", "must not be negative"}
+	}
 	if invalid := n.Connections.check(); invalid != nil {
 		return invalid
 	}
--- a/internal/config/node_test.go
+++ b/internal/config/node_test.go
@@ -57,6 +57,7 @@
 		nodeSettings + "memory:\n  headers: -0.1\n":         "memory.headers",
 		nodeSettings + "memory:\n  headers: .nan\n":         "memory.headers",
 		nodeSettings + "max_fds: -1\n":                      "s.yaml:11: max_fds",
+		nodeSettings + "mesh_peers: -1\n":                   "s.yaml:11: mesh_peers",
 		nodeSettings + "connections:\n  callers: -1\n":      "connections.callers",
 		nodeSettings + "connections:\n  control: 2000000\n": "connections.control",
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -101,6 +101,7 @@
 		Handler: packetHandler(directory, statuses, others, logger),
 
 		LinkBytesPerSecond: settings.LinkMbps * bytesPerMegabit,
+		MaxPeers:           settings.MeshPeers,
 		OnPeerChange:       peerChangeHandler(directory, others, logger),
 		OnError:            logMeshError(logger),
 		OnPanic:            logPanic(logger),
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -57,6 +57,7 @@
 		Handler: agent.Handle,
 
 		LinkBytesPerSecond: settings.LinkMbps * bytesPerMegabit,
+		MaxPeers:           settings.MeshPeers,
 		OnError:            logMeshError(logger),
 		OnPanic:            logPanic(logger),
 	})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -28,6 +29,9 @@
 	maxHelloPeers = 24
 	// peerLifetime is how long a peer counts as alive after it was last seen.
 	peerLifetime = 8 * time.Second
+	// DefaultMaxPeers is the default of Options.MaxPeers, several times the size that the system
+	// is designed for.
+	DefaultMaxPeers = 8192
 	// maxDatagram is the size of the largest datagram that can be read, in bytes.
 	maxDatagram = 64 << 10
 	// socketBuffer is the size of the socket's read buffer, in bytes. The buffer
@@ -51,6 +55,8 @@
 	// LinkBytesPerSecond is the rate of the instance's link, which datagrams do not exceed;
 	// zero if it is not known.
 	LinkBytesPerSecond float64
+	// MaxPeers is the greatest number of other processes that are known; zero for the default.
+	MaxPeers int
 	// OnPeerChange is called for each peer that is discovered or has expired; it
 	// may be nil.
 	OnPeerChange func(p Peer, alive bool)
@@ -108,7 +114,7 @@
 	}
 	n := &Node{
 		options: o,
-		peers:   NewPeerSet(o.Self, peerLifetime),
+		peers:   NewPeerSet(o.Self, peerLifetime, cmp.Or(o.MaxPeers, DefaultMaxPeers)),
 		rng:     rand.New(rand.NewPCG(o.Self.Incarnation, uint64(len(o.Self.ID)))),
 	}
 	if o.LinkBytesPerSecond > 0 {
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,7 +91,7 @@
 
 func TestPeersAreForgottenAndOldNewsIsIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := mesh.NewPeerSet(mesh.Peer{ID: "self", Role: mesh.Gateway}, 8*time.Second)
+	p := mesh.NewPeerSet(mesh.Peer{ID: "self", Role: mesh.Gateway}, 8*time.Second, 100)
 	assert.Assert(t, p.Update(mesh.Peer{ID: "a", Role: mesh.Gateway, Incarnation: 2, Address: "new", LastSeen: now}, now))
 	assert.Assert(t, !p.Update(mesh.Peer{ID: "a", Role: mesh.Gateway, Incarnation: 1, Address: "old", LastSeen: now.Add(time.Second)}, now))
 	assert.Assert(t, !p.Update(mesh.Peer{ID: "self", LastSeen: now}, now))
@@ -154,3 +155,22 @@
 		return poll.Continue("%d of %d messages arrived", len(receiver.statusSteps), datagrams)
 	}, poll.WithTimeout(5*time.Second))
 }
+
+// Datagrams that name ever new peers made a process keep all of them for their lifetime. Known
+// peers must stay known, and be replaced once they are gone.
+func TestPeersAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peer := func(id string, seen time.Time) mesh.Peer {
+		return mesh.Peer{ID: id, Role: mesh.Gateway, Incarnation: 1, LastSeen: seen}
+	}
+	p := mesh.NewPeerSet(mesh.Peer{ID: "self", Role: mesh.Gateway}, 8*time.Second, 2)
+	assert.Assert(t, p.Update(peer("a", now), now))
+	assert.Assert(t, p.Update(peer("b", now), now))
+	assert.Assert(t, !p.Update(peer("c", now), now), "a peer over the limit was added")
+	assert.Assert(t, !p.Update(peer(strings.Repeat("x", 300), now), now), "a peer with an endless ID was added")
+	later := now.Add(5 * time.Second)
+	assert.Assert(t, !p.Update(peer("a", later), later))
+	p.Expire(now.Add(9 * time.Second))
+	assert.Equal(t, p.Count(mesh.Gateway), 2)
+	assert.Assert(t, p.Update(peer("c", now.Add(9*time.Second)), now.Add(9*time.Second)))
+}
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -43,22 +43,34 @@
 	counts map[Role]int
 	// lifetime is how long a peer counts as alive after it was last seen.
 	lifetime time.Duration
+	// limit is the greatest number of other processes.
+	limit int
 }
 
+// maxTextBytes bounds the ID, address and zone of a peer, in bytes each.
+const maxTextBytes = 256
+
 // NewPeerSet returns a set that contains only self. Other peers expire after
-// lifetime.
-func NewPeerSet(self Peer, lifetime time.Duration) *PeerSet {
-	return &PeerSet{self: self, byID: make(map[string]Peer), counts: make(map[Role]int), lifetime: lifetime}
+// lifetime, and limit is the greatest number of them.
+func NewPeerSet(self Peer, lifetime time.Duration, limit int) *PeerSet {
+	return &PeerSet{self: self, byID: make(map[string]Peer), counts: make(map[Role]int), lifetime: lifetime, limit: limit}
 }
 
 // Update adds or updates a peer, and reports whether it was unknown before or has started
-// again. It ignores self, information that is older than what is known, older incarnations
-// and peers whose lifetime has passed.
+// again. It ignores self, information that is older than what is known, older incarnations,
+// peers whose lifetime has passed, those that are described at more length than any process is,
+// and new ones over the limit.
 func (s *PeerSet) Update(peer Peer, now time.Time) bool {
 	if peer.ID == "" || peer.ID == s.self.ID || now.Sub(peer.LastSeen) > s.lifetime {
 		return false
 	}
+	if max(len(peer.ID), len(peer.Address), len(peer.Zone)) > maxTextBytes {
+		return false
+	}
 	old, found := s.byID[peer.ID]
+	if !found && len(s.byID) >= s.limit {
+		return false
+	}
 	if found && (old.Incarnation > peer.Incarnation || old.LastSeen.After(peer.LastSeen)) {
 		return false
 	}
