rpc: bound the connections in a TLS handshake

Strangers without a certificate took all descriptors of an entry or an agent: each connection at the address for peers could stay in the TLS handshake for 5 s, in any number.

Peers that have completed it do not count.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -192,7 +192,7 @@
 		return nil, fmt.Errorf("agent: %w", err)
 	}
 	handlers := map[keys.Role]drpc.Handler{keys.Agent: agentMux, keys.Entry: entryMux, keys.Operator: operatorHandler}
-	return rpc.NewServer(a.keys, handlers, func(from net.Addr, err error) {
+	return rpc.NewServer(a.keys, a.settings.Connections.Control, handlers, func(from net.Addr, err error) {
 		a.log.Warn().Str("event", "peer_refused").Str("from", from.String()).Str("cause", err.Error()).Msg("")
 	}), nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -235,7 +235,7 @@
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	handlers := map[keys.Role]drpc.Handler{keys.Agent: agentMux, keys.Entry: entryMux, keys.Operator: operatorHandler}
-	return rpc.NewServer(e.peerKeys, handlers, func(from net.Addr, err error) {
+	return rpc.NewServer(e.peerKeys, e.settings.Connections.Control, handlers, func(from net.Addr, err error) {
 		e.log.Warn().Str("event", "peer_refused").Str("from", from.String()).Str("cause", err.Error()).Msg("")
 	}), nil
 }
--- a/internal/nettimeout/nettimeout.go
+++ b/internal/nettimeout/nettimeout.go
@@ -22,8 +22,12 @@
 }
 
 // Set makes the kernel close conn if sent data stays unacknowledged for longer
-// than unackedTimeout. It has no effect on connections other than TCP.
+// than unackedTimeout. It has no effect on connections other than TCP, unless they say which
+// connection they hold.
 func Set(conn net.Conn, unackedTimeout time.Duration) error {
+	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = outer.NetConn()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return nil
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"bluebellwind.example/internal/connguard"
 	"bluebellwind.example/internal/keys"
 	"bluebellwind.example/internal/nettimeout"
 )
@@ -23,6 +24,8 @@
 	keys      *keys.Store
 	handlers  map[keys.Role]*drpcserver.Server
 	onRefused func(net.Addr, error)
+	// guard bounds the connections whose handshake has not ended.
+	guard *connguard.Guard
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -30,12 +33,14 @@
 }
 
 // NewServer returns a server. A peer whose role has no handler is rejected during
-// the TLS handshake. onRefused, if not nil, is called for each failed handshake.
-func NewServer(store *keys.Store, handlers map[keys.Role]drpc.Handler, onRefused func(net.Addr, error)) *Server {
+// the TLS handshake. At most handshakes connections may be in it at the same time.
+// onRefused, if not nil, is called for each failed handshake.
+func NewServer(store *keys.Store, handshakes int, handlers map[keys.Role]drpc.Handler, onRefused func(net.Addr, error)) *Server {
 	s := &Server{
 		keys:      store,
 		handlers:  map[keys.Role]*drpcserver.Server{},
 		onRefused: onRefused,
+		guard:     connguard.New(connguard.Options{Connections: handshakes}),
 		conns:     map[net.Conn]struct{}{},
 	}
 	for role, h := range handlers {
@@ -51,6 +56,7 @@
 		roles = append(roles, role)
 	}
 	cfg := s.keys.Server(roles...)
+	l = s.guard.Listener(l)
 	for {
 		raw, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -93,6 +99,9 @@
 		}
 		return
 	}
+	if c, ok := raw.(*connguard.Conn); ok {
+		c.Trust()
+	}
 	// The error only describes how the connection ended; errors of calls are
 	// returned to their callers.
 	_ = s.handlers[keys.RoleOf(conn.ConnectionState())].ServeOne(ctx, conn)
