entry: bound what the connections and headers of callers hold

A crowd of callers made an entry run out of memory, or took its descriptors: with headers that stop or wait, without a TLS handshake, or reading nothing.

Cause: as before gateways, each header was bounded by its bytes and alone, and the connections not at all.

The guard of gateways stands around the listener, outside of TLS, so that it sees what is decrypted: connections.callers connections (4,096 by default), and entry.header_bytes for the headers of all (64 MiB).

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -15,6 +15,9 @@
 
 func (s *Settings) setRoleDefaults(role Role) {
 	s.Connections.setDefaults()
+	if s.Connections.Callers == 0 {
+		s.Connections.Callers = defaultCallerConnections
+	}
 	if role == RoleEntry && s.Entry != nil {
 		s.Entry.setDefaults()
 	}
@@ -27,6 +30,9 @@
 	if e.MaxBodyBytes == 0 {
 		e.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if e.HeaderBytes == 0 {
+		e.HeaderBytes = DefaultHeaderBytes
+	}
 	if e.RequestTimeout == 0 {
 		e.RequestTimeout = DefaultRequestTimeout
 	}
@@ -133,6 +139,9 @@
 	if n := s.Entry.MaxBodyBytes; n < 1 || n > maxMaxBodyBytes {
 		return &invalidField{"entry.max_body_bytes", fmt.Sprintf("%d is outside 1 to %d", n, maxMaxBodyBytes)}
 	}
+	if n := s.Entry.HeaderBytes; n < minHeaderBytes {
+		return &invalidField{"entry.header_bytes", fmt.Sprintf("%d is less than %d", n, minHeaderBytes)}
+	}
 	if invalid := checkRange("entry.drain_grace", s.Entry.DrainDelay, time.Millisecond, maxDrainDelay); invalid != nil {
 		return invalid
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 	DefaultJoinTimeout     = Duration(5 * time.Second)
 	DefaultRequestTimeout  = Duration(60 * time.Second)
 	DefaultMaxBodyBytes    = int64(1 << 20)
+	DefaultHeaderBytes     = int64(64 << 20)
 	DefaultLogLevel        = "info"
 	DefaultSlots           = 16
 	DefaultQueue           = 256
@@ -30,6 +31,7 @@
 // Bounds that settings are validated against.
 const (
 	maxMaxBodyBytes  = 16 << 20
+	minHeaderBytes   = 1 << 20
 	maxSlots         = 4096
 	maxQueue         = 65536
 	maxDrainDelay    = 5 * time.Minute
@@ -107,6 +109,8 @@
 type Entry struct {
 	// MaxBodyBytes is the maximum size of the body of a request.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	// HeaderBytes bounds the headers of all requests together, as they are held in memory.
+	HeaderBytes int64 `yaml:"header_bytes"`
 	// RequestTimeout limits the duration of a request whose route sets no timeout.
 	RequestTimeout Duration `yaml:"request_timeout"`
 	// DrainDelay is how long a draining entry, which already fails its readiness
--- a/internal/config/connections.go
+++ b/internal/config/connections.go
@@ -14,6 +14,7 @@
 
 const (
 	defaultControlConnections = 64
+	defaultCallerConnections  = 4096
 	maxConnections            = 1 << 20
 	// maxDerivedConnections bounds the connections of callers where neither memory nor
 	// descriptors do.
--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -41,6 +41,7 @@
 func startCrowdTargets(t *testing.T) *cluster {
 	t.Helper()
 	c := newCluster(t, sessionRules)
+	c.maxConnections, c.maxHeldBytes = crowdDescriptors/2, crowdMemoryMB<<20/8
 	c.addAgent("draft-1", "ga-1", "drafts", "", c.serveEngine(standin.NewEngine(0, 0)))
 	c.addEntry("entry-1", "ga-1")
 	c.publish()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -28,6 +29,7 @@
 	"bluebellwind.example/internal/callerconn"
 	"bluebellwind.example/internal/clock"
 	"bluebellwind.example/internal/config"
+	"bluebellwind.example/internal/connguard"
 	"bluebellwind.example/internal/crash"
 	"bluebellwind.example/internal/fleet"
 	"bluebellwind.example/internal/keys"
@@ -68,6 +70,8 @@
 	// appliedDigest is the digest of the rules in force. Only watchRules uses it.
 	appliedDigest uint64
 	incarnation   uint64
+	// callerGuard bounds what the connections of callers hold.
+	callerGuard *connguard.Guard
 	// peering and quota are set by setUpPeering, once the address of this entry
 	// is known.
 	peering *peering.Peering
@@ -123,6 +127,10 @@
 		runner:         &attemptRunner{pool: agentPool, directory: directory, crashes: crashes},
 		operatorAccess: newOperatorAccess(),
 	}
+	e.callerGuard = connguard.New(connguard.Options{
+		Connections: settings.Connections.Callers, HeaderBytes: func() int { return maxHeaderBytes },
+		Headers: connguard.NewBudget(settings.Entry.HeaderBytes),
+	})
 	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.picker = newPicker(directory, settings.Zone, incarnation, e)
 	return e, nil
@@ -158,9 +166,12 @@
 	}
 	conns := callerconn.NewSet(func() time.Duration { return 0 }) // The server has an idle timeout of its own.
 	server := &http.Server{
-		Handler:           e.handler(),
-		ConnState:         conns.TrackState,
-		TLSConfig:         e.callerKeys.Server(),
+		Handler:     e.handler(),
+		ConnContext: connguard.ConnContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			e.callerGuard.TrackState(c, state)
+			conns.TrackState(c, state)
+		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -177,7 +188,9 @@
 	e.startBackground(runCtx)
 	peersErr, callersErr := make(chan error, 1), make(chan error, 1)
 	go func() { peersErr <- peerServer.Serve(runCtx, peerListener) }()
-	go func() { callersErr <- server.ServeTLS(callerListener, "", "") }()
+	// The guard sees what is decrypted, so it stands outside of TLS; callers speak HTTP/1.1.
+	secureListener := tls.NewListener(callerListener, e.callerKeys.Server())
+	go func() { callersErr <- server.Serve(e.callerGuard.Listener(secureListener)) }()
 
 	select {
 	case err := <-peersErr:
@@ -187,7 +200,7 @@
 	case <-ctx.Done():
 	}
 	e.drain(server, conns, func() {
-		_ = callerconn.CloseListener(callerListener) // ServeTLS reports the end of the listener.
+		_ = callerconn.CloseListener(callerListener) // Serve reports the end of the listener.
 		<-callersErr
 	})
 	_ = peerListener.Close()
@@ -302,8 +315,8 @@
 	e.shutDown(server, end)
 }
 
-// shutDown ends the connections that are left, with HTTP/2 those that have no request, and
-// waits for the requests of the others until end.
+// shutDown ends the connections that are left, and waits for the requests of those that have one
+// until end.
 func (e *Entry) shutDown(server *http.Server, end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
