entry: bound the bodies of all requests together

Callers that sent most of a body and then stopped made an entry hold a megabyte each: four hundred of them took 541 MB.

Cause: a body was bounded alone, at entry.max_body_bytes.

Memory for a body is reserved before it is used, twice its size, as it is sent on too (entry.held_bytes, 256 MiB by default).

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -30,6 +30,9 @@
 	if e.MaxBodyBytes == 0 {
 		e.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if e.HeldBytes == 0 {
+		e.HeldBytes = DefaultHeldBytes
+	}
 	if e.HeaderBytes == 0 {
 		e.HeaderBytes = DefaultHeaderBytes
 	}
@@ -139,6 +142,9 @@
 	if n := s.Entry.MaxBodyBytes; n < 1 || n > maxMaxBodyBytes {
 		return &invalidField{"entry.max_body_bytes", fmt.Sprintf("%d is outside 1 to %d", n, maxMaxBodyBytes)}
 	}
+	if e := s.Entry; e.HeldBytes < BodyCopies*e.MaxBodyBytes {
+		return &invalidField{"entry.held_bytes", fmt.Sprintf("%d has no room for a body of entry.max_body_bytes, which takes %d", e.HeldBytes, BodyCopies*e.MaxBodyBytes)}
+	}
 	if n := s.Entry.HeaderBytes; n < minHeaderBytes {
 		return &invalidField{"entry.header_bytes", fmt.Sprintf("%d is less than %d", n, minHeaderBytes)}
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 	DefaultJoinTimeout     = Duration(5 * time.Second)
 	DefaultRequestTimeout  = Duration(60 * time.Second)
 	DefaultMaxBodyBytes    = int64(1 << 20)
+	DefaultHeldBytes       = int64(256 << 20)
 	DefaultHeaderBytes     = int64(64 << 20)
 	DefaultLogLevel        = "info"
 	DefaultSlots           = 16
@@ -109,7 +110,9 @@
 type Entry struct {
 	// MaxBodyBytes is the maximum size of the body of a request.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// HeaderBytes bounds the headers of all requests together, as they are held in memory.
+	// HeldBytes bounds the bodies of all requests together, and HeaderBytes their headers, as
+	// they are held in memory.
+	HeldBytes   int64 `yaml:"held_bytes"`
 	HeaderBytes int64 `yaml:"header_bytes"`
 	// RequestTimeout limits the duration of a request whose route sets no timeout.
 	RequestTimeout Duration `yaml:"request_timeout"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -33,6 +33,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Entry.RequestTimeout, config.DefaultRequestTimeout)
 	assert.Equal(t, s.DrainTimeout, config.DefaultDrainTimeout)
+	assert.Equal(t, s.Entry.HeldBytes, config.DefaultHeldBytes)
 	assert.Equal(t, s.Connections.Callers, 4096)
 }
 
@@ -45,6 +46,7 @@
 		{"not an address", "peers: 127.0.0.1:0", "peers: localhost", `e.yaml:5: listen.peers: "localhost" is not IP:port`},
 		{"bad duration", "  max_body_bytes: 1024", "  request_timeout: soon", `e.yaml:17: entry.request_timeout: "soon" is not a duration`},
 		{"missing", "name: entry-a1\n", "", `e.yaml:1: name: is missing`},
+		{"no room for a body", "max_body_bytes: 1024", "max_body_bytes: 1024\n  held_bytes: 2047", `e.yaml:18: entry.held_bytes: 2047 has no room`},
 		{"no room for headers", "max_body_bytes: 1024", "max_body_bytes: 1024\n  header_bytes: -1", `e.yaml:18: entry.header_bytes: -1 is less`},
 		{"impossible connections", "entry:\n", "connections: {callers: -1}\nentry:\n", `connections.callers: must be between`},
 		{"role section missing", "entry:\n  max_body_bytes: 1024\n", "", `entry: is missing`},
--- a/internal/config/connections.go
+++ b/internal/config/connections.go
@@ -12,6 +12,10 @@
 	Control int `yaml:"control"`
 }
 
+// BodyCopies is how many times the size of a body its request takes of HeldBytes: the bytes that
+// were read, and those that are sent on.
+const BodyCopies = 2
+
 const (
 	defaultControlConnections = 64
 	defaultCallerConnections  = 4096
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -98,7 +98,7 @@
 	slots           int           // Slots of each agent; 0 for the default.
 	drainTimeout    time.Duration // That of each process; 0 for the default.
 	maxConnections  int           // Those of callers of each entry; 0 for the default.
-	maxHeldBytes    int64         // The headers of all requests of an entry; 0 for the default.
+	maxHeldBytes    int64         // The bodies, and the headers, of all requests of an entry; 0 for the default.
 	processes       map[string]*process
 	callerAddresses map[string]string // Address for callers, by name.
 	adminAddresses  map[string]string
@@ -145,7 +145,7 @@
 	s.Listen.Callers = "127.0.0.1:0"
 	s.Seeds = seeds
 	s.Keys.CallersCertificate, s.Keys.CallersKey = s.Keys.Certificate, s.Keys.Key
-	s.Entry = &config.Entry{DrainDelay: config.Duration(100 * time.Millisecond), HeaderBytes: c.maxHeldBytes}
+	s.Entry = &config.Entry{DrainDelay: config.Duration(100 * time.Millisecond), HeldBytes: c.maxHeldBytes, HeaderBytes: c.maxHeldBytes}
 	s.Connections.Callers = c.maxConnections
 	addresses := c.startProcess("entry", s)
 	c.callerAddresses[name] = addresses["callers"]
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	// appliedDigest is the digest of the rules in force. Only watchRules uses it.
 	appliedDigest uint64
 	incarnation   uint64
+	bodies        bodyReader
 	// callerGuard bounds what the connections of callers hold.
 	callerGuard *connguard.Guard
 	// peering and quota are set by setUpPeering, once the address of this entry
@@ -127,6 +128,7 @@
 		runner:         &attemptRunner{pool: agentPool, directory: directory, crashes: crashes},
 		operatorAccess: newOperatorAccess(),
 	}
+	e.bodies = bodyReader{limit: settings.Entry.MaxBodyBytes, held: connguard.NewBudget(settings.Entry.HeldBytes)}
 	e.callerGuard = connguard.New(connguard.Options{
 		Connections: settings.Connections.Callers, HeaderBytes: func() int { return maxHeaderBytes },
 		Headers: connguard.NewBudget(settings.Entry.HeaderBytes),
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -107,10 +107,12 @@
 
 // serveChat serves a chat completion.
 func (e *Entry) serveChat(ex *exchange, c echo.Context) error {
-	body, err := readBody(c.Response(), c.Request(), e.settings.Entry.MaxBodyBytes)
+	held, err := e.bodies.read(c.Response(), c.Request())
 	if err != nil {
 		return err
 	}
+	defer held.release()
+	body := held.bytes
 	chatReq, err := decodeChat(body)
 	if err != nil {
 		return err
@@ -146,14 +148,15 @@
 	if !ok {
 		return e.withTicketVerdict(ex, verdict.Refuse(verdict.NoRoute, verdict.NotRun, "no rule leads to this path for this organisation"))
 	}
-	body, err := readBody(c.Response(), r, e.settings.Entry.MaxBodyBytes)
+	body, err := e.bodies.read(c.Response(), r)
 	if err != nil {
 		return e.withTicketVerdict(ex, err)
 	}
+	defer body.release()
 	if err := e.checkDrain(e.deadlineOf(ex.opts, decision)); err != nil {
 		return e.withTicketVerdict(ex, err)
 	}
-	req := e.newRoutedRequest(ex, decision, body, r)
+	req := e.newRoutedRequest(ex, decision, body.bytes, r)
 	ctx, cancel := e.requestContext(r.Context(), req.deadline)
 	defer cancel()
 	if decision.AtMostOnce {
