gateway: do not wait without end for the body of a refused request

A caller that sent a header for no route or with an unknown key, and withheld its body, got no refusal and kept its connection, and the memory of its header, for good. The body of a request without a deadline was waited for without end too, with the memory that it had taken.

Cause: net/http reads the rest of a body before it sends an answer, so that the connection can be used again, and no time was set for that.

The rest may take 1 s now, after which the refusal is sent and the connection closed. A body without a deadline may take 30 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,8 @@
 	// maxSilence is how long a server may send nothing of use where the request has no
 	// deadline.
 	maxSilence time.Duration
+	// maxBodyTime bounds the time for reading the body of a request that has no deadline.
+	maxBodyTime time.Duration
 	// peakGatewayCount is the highest number of live gateways seen. Limits
 	// shared by all gateways are divided by it, because gateways that are cut
 	// off from this one still use their share.
@@ -179,6 +181,7 @@
 		memory:      newMemory(o.Limits.Memory),
 		maxUnread:   defaultMaxUnread,
 		maxSilence:  defaultMaxSilence,
+		maxBodyTime: defaultMaxBodyTime,
 	}
 	g.quarantine.SetStart(o.CrashMemoryStart)
 	g.ending, g.endRequests = context.WithCancel(context.Background())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,6 +21,7 @@
 	x := &exchange{g: g, w: w, r: r, request: request{call: g.headerCodec.ParseRequest(r.Header), arrived: arrived}}
 	defer g.logPanic(x)
 	if refusal := g.admit(x); refusal != nil {
+		x.limitBodyRest()
 		g.refuse(x, refusal)
 		return
 	}
@@ -30,6 +31,7 @@
 	body, refusal := x.readBody()
 	defer body.reservation.release()
 	if refusal != nil {
+		x.limitBodyRest()
 		g.refuse(x, refusal)
 		return
 	}
@@ -41,6 +43,18 @@
 	x.run()
 }
 
+// bodyRestTime is how long the rest of the body of a refused request may take. net/http reads it
+// before it sends the refusal, so that the connection can be used again.
+const bodyRestTime = time.Second
+
+// limitBodyRest bounds the time that the rest of the body of a refused request may take. Without
+// it the connection is closed after the refusal.
+func (x *exchange) limitBodyRest() {
+	if x.r.Body != nil && x.r.Body != http.NoBody {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyRestTime)) // Fails only for a closed connection.
+	}
+}
+
 // endWritesWithContext makes writes to a caller that reads nothing fail lastWriteTime after
 // the end of the request's context. It returns a function that takes this back, unless the
 // response is aborted.
@@ -161,7 +175,9 @@
 	if r.Body == nil || r.ContentLength == 0 {
 		return body, nil
 	}
-	defer x.endReadsWithContext()()
+	ctx, cancel := x.bodyContext()
+	defer cancel()
+	defer x.endReadsWith(ctx)()
 	defer connguard.ReadingBody(r.Context())()
 	whole, err := body.readFrom(http.MaxBytesReader(nil, r.Body, limit), r.ContentLength, math.MaxInt)
 	var tooLarge *http.MaxBytesError
@@ -170,9 +186,9 @@
 		return body, verdict.Refuse(verdict.TooLarge, verdict.NotRun, "the body is too large")
 	case errors.Is(err, connguard.ErrEvicted):
 		return body, verdict.Refuse(verdict.Overloaded, verdict.NotRun, "the connection made room for another one").WithRetryAfter(x.g.refusalDelay())
-	case err != nil && errors.Is(context.Cause(x.ctx), context.DeadlineExceeded):
+	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return body, verdict.Refuse(verdict.DeadlineExceeded, verdict.NotRun, "the body did not arrive in time")
-	case err != nil && errors.Is(context.Cause(x.ctx), errStopping):
+	case err != nil && errors.Is(context.Cause(ctx), errStopping):
 		return body, verdict.Refuse(verdict.Unavailable, verdict.NotRun, "the gateway stops").WithRetryAfter(x.g.staleDelay())
 	case err != nil:
 		return body, verdict.Wrap(verdict.InvalidRequest, verdict.NotRun, "the body cannot be read", err)
@@ -197,12 +213,24 @@
 // memory.
 const minMemoryDelay = 100 * time.Millisecond
 
-// endReadsWithContext makes reads of the body fail at the end of the request's context. It
-// returns a function that takes this back.
-func (x *exchange) endReadsWithContext() (end func()) {
+// defaultMaxBodyTime is the default of Gateway.maxBodyTime.
+const defaultMaxBodyTime = 30 * time.Second
+
+// bodyContext returns the context for reading the body: that of the request, which ends after
+// Gateway.maxBodyTime if the request has no deadline.
+func (x *exchange) bodyContext() (context.Context, context.CancelFunc) {
+	if x.deadline.IsZero() {
+		return context.WithTimeout(x.ctx, x.g.maxBodyTime)
+	}
+	return x.ctx, func() {}
+}
+
+// endReadsWith makes reads of the body fail at the end of ctx. It returns a function that takes
+// this back.
+func (x *exchange) endReadsWith(ctx context.Context) (end func()) {
 	control := http.NewResponseController(x.w)
 	ended := make(chan struct{})
-	stop := context.AfterFunc(x.ctx, func() {
+	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
 		_ = control.SetReadDeadline(time.Unix(1, 0)) // Fails only for a closed connection.
 	})
