agent: take no answer with a status that HTTP does not have

A server in trouble sent an answer whose status was 000. Behind an agent the caller got no answer at all, as the entry cannot write such a status; 101, 600 and 999 reached it as they were. The outcome of a call that must run once was kept, and replayed, with them.

Cause: the agent passed on any status that the HTTP library had read.

A status outside 200 to 599 is a failure now that may have run.

Evidence: TestImpossibleStatusIsNoAnswer (e2e) failed before for each of six statuses. Behind gateways it did not happen, on any path that the tests of package gateway try: plain, repeatable, streamed, resumed, taken over in a silence, HEAD; they passed from the start.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -87,6 +87,10 @@
 	if err != nil {
 		return nil, callError(err)
 	}
+	if err := checkStatus(res); err != nil {
+		res.Body.Close()
+		return nil, err
+	}
 	if err := b.checkID(res, s.GetAttemptId()); err != nil {
 		res.Body.Close()
 		b.client.CloseIdleConnections() // Another answer may follow on the connection.
@@ -102,6 +106,18 @@
 	return res, nil
 }
 
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
+// checkStatus rejects a response whose status code no answer to a request has. The server has
+// got the request, so it may have run.
+func checkStatus(res *http.Response) error {
+	if res.StatusCode >= http.StatusOK && res.StatusCode <= maxStatus {
+		return nil
+	}
+	return verdict.Wrap(verdict.Interrupted, verdict.MayHaveRun, "the server sent no answer", fmt.Errorf("no answer has status %03d", res.StatusCode))
+}
+
 // engineRefusal converts an error status of an engine to a refusal: 429 and 503
 // mean that it did not accept the request; after any other status from 500 on,
 // the request may have run.
