--- a/internal/rankctl/client.go
+++ b/internal/rankctl/client.go
@@ -230,7 +230,7 @@
 	if err != nil {
 		return fmt.Errorf("rankctl: %w", err)
 	}
-	if res.StatusCode >= http.StatusMultipleChoices {
+	if res.StatusCode/100 != 2 {
 		return fmt.Errorf("rankctl: %w", &statusError{res.StatusCode, string(data)})
 	}
 	switch out := result.(type) {
--- a/internal/rankctl/client_test.go
+++ b/internal/rankctl/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"testing"
@@ -63,3 +65,20 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, loaded, encoded)
 }
+
+// A call whose answer has status 000 counted as successful, so that an order that was not carried
+// out was taken for one that was.
+func TestCallWithAnImpossibleStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
+				conn.Close()
+			}
+		}))
+		_, err := rankctl.New(server.URL).Status(t.Context())
+		assert.Check(t, err != nil, status)
+		server.Close()
+	}
+}
