--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -121,7 +121,7 @@
 	if errors.Is(reason, errHeaderTooLarge) {
 		status = http.StatusRequestHeaderFieldsTooLarge
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) // Fails only for a closed connection, as do the writes.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime)) // Fails only for a closed connection, as do the writes.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
 	_ = c.CloseWrite()
 	return &net.OpError{Op: "read", Err: reason}
@@ -130,7 +130,7 @@
 // Write implements net.Conn. The caller of an evicted connection gets less time to read.
 func (c *Conn) Write(b []byte) (int, error) {
 	if c.evicted.Load() {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(slowTime)) // Fails only for a closed connection.
+		_ = c.SetWriteDeadline(time.Now().Add(slowTime)) // Fails only for a closed connection.
 	}
 	c.writingSince.Store(time.Now().UnixNano())
 	defer c.writingSince.Store(0)
@@ -150,7 +150,7 @@
 
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.Conn.SetWriteDeadline(t))
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
 // Close implements net.Conn.
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -152,7 +152,7 @@
 		if oldest == nil {
 			continue
 		}
-		if c := oldest.Value.(*Conn); now.Sub(c.since) >= candidate.age { //nolint:errcheck // The lists hold nothing else.
+		if c := oldest.Value.(*Conn); now.Sub(c.since) >= candidate.age {
 			g.evict(c)
 			return true
 		}
@@ -173,7 +173,7 @@
 		return false
 	}
 	g.evict(slowest)
-	_ = slowest.Conn.SetWriteDeadline(time.Unix(1, 0)) // Fails only for a closed connection.
+	_ = slowest.SetWriteDeadline(time.Unix(1, 0)) // Fails only for a closed connection.
 	return true
 }
 
@@ -185,8 +185,8 @@
 	g.closing++
 	g.usage.Evictions++
 	c.evicted.Store(true)
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))              // Fails only for a closed connection.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) // As above.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))         // Fails only for a closed connection.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime)) // As above.
 }
 
 // enter sets the phase of a connection. The caller holds the lock.
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -49,7 +49,7 @@
 		}),
 	}
 	go func() { _ = server.Serve(r.guard.Listener(l)) }() // Ends with the server.
-	t.Cleanup(func() { close(r.hold); server.Close() })
+	t.Cleanup(func() { close(r.hold); _ = server.Close() })
 	return r
 }
 
@@ -196,7 +196,7 @@
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := guard.Listener(plain)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	accept := func() *connguard.Conn {
 		c, err := net.Dial("tcp", plain.Addr().String())
 		assert.NilError(t, err)
--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -142,8 +142,12 @@
 	var b bytes.Buffer
 	encoder := hpack.NewEncoder(&b)
 	for _, f := range [][2]string{
-		{":method", "POST"}, {":path", "/v1/chat/completions"}, {":scheme", "https"}, {":authority", "crowd.example"},
-		{"authorization", "Bearer demo-oakville"}, {"content-type", "application/json"},
+		{":method", "POST"},
+		{":path", "/v1/chat/completions"},
+		{":scheme", "https"},
+		{":authority", "crowd.example"},
+		{"authorization", "Bearer demo-oakville"},
+		{"content-type", "application/json"},
 	} {
 		_ = encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]}) // A buffer takes all.
 	}
