entry: log failed TLS handshakes of callers again

The guard around TLS does the handshake in the first read, so that net/http no longer sees its errors. They are logged at debug level, as before.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"container/list"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -108,12 +109,24 @@
 			return 0, c.refuse(refused)
 		}
 	}
+	if err != nil {
+		c.reportHandshake(err)
+	}
 	if err != nil && c.evicted.Load() {
 		return n, &net.OpError{Op: "read", Err: ErrEvicted}
 	}
 	return n, err
 }
 
+// reportHandshake reports the error of a read that was that of a TLS handshake.
+func (c *Conn) reportHandshake(err error) {
+	secure, ok := c.Conn.(*tls.Conn)
+	if !ok || c.guard.options.OnHandshakeError == nil || secure.ConnectionState().HandshakeComplete {
+		return
+	}
+	c.guard.options.OnHandshakeError(c.RemoteAddr(), err)
+}
+
 // refuse tells the caller why its header is not read any further, and returns the error of the
 // read, upon which http.Server closes the connection without another answer.
 func (c *Conn) refuse(reason error) error {
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -33,6 +33,9 @@
 	// Headers bounds the memory of the headers of all connections together; nil if HeaderBytes
 	// is.
 	Headers *Budget
+	// OnHandshakeError is called if the TLS handshake of a connection fails, by its goroutine; it
+	// may be nil.
+	OnHandshakeError func(from net.Addr, err error)
 	// Lifetime bounds how long a connection may be open; zero for no bound.
 	Lifetime time.Duration
 }
@@ -48,7 +51,7 @@
 	// that are not closed.
 	open, closing int
 	// orders hold the connections of the phases fresh, idle and body, the oldest first.
-	orders [active + 2]list.List
+	orders [gone]list.List
 	// conns are the open connections, and holders those with a reservation for a header.
 	conns, holders map[*Conn]struct{}
 	// usage counts what Usage returns, but for Open.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,6 +132,9 @@
 	e.callerGuard = connguard.New(connguard.Options{
 		Connections: settings.Connections.Callers, HeaderBytes: func() int { return maxHeaderBytes },
 		Headers: connguard.NewBudget(settings.Entry.HeaderBytes),
+		OnHandshakeError: func(from net.Addr, err error) {
+			logger.Debug().Str("event", "handshake_failed").Str("from", from.String()).Str("cause", err.Error()).Msg("")
+		},
 	})
 	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.picker = newPicker(directory, settings.Zone, incarnation, e)
