soak, e2e: read what a process holds in one place

The tests of endless answers and of crowds read /proc in three places. They also fail now if the process has ended, instead of by a missing file.

--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -59,7 +59,7 @@
 	defer cancel()
 	play(ctx)
 	<-ctx.Done()
-	most, peak := endWatch(), observed.PeakMB()
+	most, peak := endWatch(), p.peakMegabytes(c.t)
 	c.t.Logf("%s held at most %d MB and %d descriptors", name, peak, most)
 	c.assertLives(name)
 	assert.Check(c.t, peak < crowdMemoryMB, "%d MB", peak)
--- a/internal/e2e/endless_test.go
+++ b/internal/e2e/endless_test.go
@@ -3,15 +3,14 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bluebellwind.example/internal/crowd"
 )
 
 // serveEndlessly serves GET /health, and to all other requests writes first and then repeated
@@ -33,16 +32,12 @@
 	return server.URL
 }
 
-// peakMegabytes returns the most memory that a process has held.
+// peakMegabytes returns the most memory that a process has held, which must not have ended.
 func (p *process) peakMegabytes(t *testing.T) int {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "status"))
-	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(text), "VmHWM:")
-	assert.Assert(t, found)
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	assert.NilError(t, err)
-	return kilobytes >> 10
+	peak := crowd.Process{PID: p.cmd.Process.Pid}.PeakMB()
+	assert.Assert(t, peak > 0, "%s has ended", p.name)
+	return peak
 }
 
 // An engine that sends bytes without end must not use up the memory of its agent or of the entry:
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -56,15 +56,6 @@
 	})
 }
 
-func (p *process) observe() crowd.Process {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return crowd.Process{}
-	}
-	return crowd.Process{PID: p.cmd.Process.Pid}
-}
-
 // bear plays a crowd and checks what the process held, and that ordinary callers are served
 // afterwards.
 func (r *testbed) bear(t *testing.T, p *process, duration time.Duration, play func(ctx context.Context)) {
@@ -75,7 +66,7 @@
 	defer cancel()
 	play(ctx)
 	<-ctx.Done()
-	most, peak := endWatch(), observed.PeakMB()
+	most, peak := endWatch(), peakMegabytes(t, p)
 	t.Logf("%s held at most %d MB and %d descriptors", p.settings.Name, peak, most)
 	r.assertNoneEnded(t, nil)
 	assert.Check(t, peak < crowdMemoryMB, "%d MB", peak)
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -5,9 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bluebellwind.example/internal/crowd"
 	"bluebellwind.example/platform/platformtest"
 )
 
@@ -83,19 +81,22 @@
 	}
 }
 
-// peakMegabytes returns the most memory that a process has held.
+// observe returns the running process, as seen from outside.
+func (p *process) observe() crowd.Process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return crowd.Process{}
+	}
+	return crowd.Process{PID: p.cmd.Process.Pid}
+}
+
+// peakMegabytes returns the most memory that a process has held, which must not have ended.
 func peakMegabytes(t *testing.T, p *process) int {
 	t.Helper()
-	p.mu.Lock()
-	pid := p.cmd.Process.Pid
-	p.mu.Unlock()
-	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
-	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(text), "VmHWM:")
-	assert.Assert(t, found)
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	assert.NilError(t, err)
-	return kilobytes >> 10
+	peak := p.observe().PeakMB()
+	assert.Assert(t, peak > 0, "%s has ended", p.settings.Name)
+	return peak
 }
 
 // gatewayMemoryMB and agentMemoryMB are the limits of a gateway and of an agent on the
