gateway: reset the connections of old callers behind the guard

Since a response that broke off looked complete to a caller of HTTP/1.0, for which the gateway resets the connection: it looked for a TCP connection and found the guarded one.

nettimeout.TCP returns the TCP connection below a guarded or TLS connection; it serves the three places that looked for one.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"bluebellwind.example/backends"
+	"bluebellwind.example/internal/nettimeout"
 	"bluebellwind.example/verdict"
 )
 
@@ -182,7 +182,7 @@
 	if err != nil {
 		return // The connection is closed already.
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := nettimeout.TCP(c); ok {
 		_ = tcp.SetLinger(0) // On failure, Close still ends the connection.
 	}
 	_ = c.Close()
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"bluebellwind.example/internal/nettimeout"
 )
 
 const (
@@ -130,14 +132,7 @@
 // hasUnread reports whether bytes have arrived on a connection that have not been read.
 // For a connection that is not TCP it returns false.
 func hasUnread(c net.Conn) bool {
-	for {
-		outer, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = outer.NetConn()
-	}
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := nettimeout.TCP(c)
 	if !ok {
 		return false
 	}
--- a/internal/nettimeout/nettimeout.go
+++ b/internal/nettimeout/nettimeout.go
@@ -22,13 +22,9 @@
 }
 
 // Set makes the kernel close conn if sent data stays unacknowledged for longer
-// than unackedTimeout. It has no effect on connections other than TCP, unless they say which
-// connection they hold.
+// than unackedTimeout. It has no effect if conn has no TCP connection.
 func Set(conn net.Conn, unackedTimeout time.Duration) error {
-	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = outer.NetConn()
-	}
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := TCP(conn)
 	if !ok {
 		return nil
 	}
@@ -39,6 +35,19 @@
 	return setUserTimeout(rawConn, unackedTimeout)
 }
 
+// TCP returns the TCP connection below conn, which may be a TLS or a guarded connection. ok is
+// false if there is none.
+func TCP(conn net.Conn) (tcp *net.TCPConn, ok bool) {
+	for {
+		outer, wraps := conn.(interface{ NetConn() net.Conn })
+		if !wraps {
+			tcp, ok = conn.(*net.TCPConn)
+			return tcp, ok
+		}
+		conn = outer.NetConn()
+	}
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
 func setUserTimeout(rawConn syscall.RawConn, unackedTimeout time.Duration) error {
 	var err error
