connguard: let slow bodies make room before callers that have just connected

Beside a crowd whose bodies come in small pieces few ordinary callers were served: the oldest of the connections that had just been opened made room, whose headers had not been read yet. Bodies of over 200 ms make room first now.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// promptTime is within what a caller sends the header of a request once it has connected.
-	// Connections that are younger are evicted last.
+	// promptTime is within what a caller sends a request once it has connected. Connections that
+	// have waited for less are evicted last.
 	promptTime = 200 * time.Millisecond
 	// slowTime is how long the body of a request, or the reader of a response, may keep a
 	// connection waiting before it may be evicted.
@@ -147,20 +147,23 @@
 // makeRoom evicts the connection that is missed least. It returns false if there is none. The
 // caller holds the lock.
 func (g *Guard) makeRoom(now time.Time) bool {
-	for _, candidate := range []struct {
-		phase phase
-		age   time.Duration
-	}{{fresh, promptTime}, {idle, 0}, {body, slowTime}, {fresh, 0}} {
-		oldest := g.orders[candidate.phase].Front()
-		if oldest == nil {
-			continue
-		}
-		if c := oldest.Value.(*Conn); now.Sub(c.since) >= candidate.age {
-			g.evict(c)
-			return true
-		}
+	return g.evictOldest(fresh, promptTime, now) || g.evictOldest(idle, 0, now) || g.evictOldest(body, slowTime, now) ||
+		g.evictUnread(now) || g.evictOldest(body, promptTime, now) || g.evictOldest(fresh, 0, now)
+}
+
+// evictOldest evicts the connection that has been in a phase for longest, if that is not less
+// than age. The caller holds the lock.
+func (g *Guard) evictOldest(p phase, age time.Duration, now time.Time) bool {
+	oldest := g.orders[p].Front()
+	if oldest == nil {
+		return false
+	}
+	c := oldest.Value.(*Conn)
+	if now.Sub(c.since) < age {
+		return false
 	}
-	return g.evictUnread(now)
+	g.evict(c)
+	return true
 }
 
 // evictUnread closes a connection whose caller reads nothing. The caller holds the lock.
